Serve requests of the users' platform: first whole path

Cause: the product spoke only to its own stand-ins. A new path (mesh/) takes requests by host and prefix, follows the platform's store (follow/, adapter in platform/) and puts guard and entry beside each instance. The client of the project's own value store moves to valuestore/.

Ruled out: passes and tickets on this path (instances don't hand them on, the settings hold no secret).

Before: the platform was not spoken to.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,4 @@
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative peer/peerpb/*.proto
 	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative peer/relaypb/relay.proto
+	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative peer/meshpb/mesh.proto
--- a/cmd/toucancove/main.go
+++ b/cmd/toucancove/main.go
@@ -25,6 +25,9 @@
 	runCmd := app.Command("run", "Run the node.")
 	settingsFile := runCmd.Flag("settings", "YAML settings of the node.").Required().String()
 
+	meshCmd := app.Command("mesh", "Run a node of a mesh on the platform.")
+	meshFile := meshCmd.Flag("settings", "YAML settings of the node.").Envar("TOUCANCOVE_CONFIG").Required().String()
+
 	checkCmd := app.Command("check-config", "Validate files of published values.")
 	checkName := checkCmd.Flag("name", "Name the value is published under, like services/claims.").Required().String()
 	checkFile := checkCmd.Arg("file", "The value.").Required().String()
@@ -45,6 +48,8 @@
 	switch command {
 	case runCmd.FullCommand():
 		return runNode(*settingsFile)
+	case meshCmd.FullCommand():
+		return runMesh(*meshFile)
 	case checkCmd.FullCommand():
 		return checkConfig(*checkName, *checkFile)
 	case statusCmd.FullCommand():
--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,179 @@
+package catalog
+
+import (
+	"strings"
+	"time"
+)
+
+// Version orders configurations; a higher one replaces a lower one.
+type Version uint64
+
+// Kind says how often a request of a route may run.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// AtMostOnce requests may run once for each attempt of a client.
+	AtMostOnce
+	// Download requests are idempotent and have large answers.
+	Download
+)
+
+// Repeatable reports whether a request may run more than once.
+func (k Kind) Repeatable() bool { return k != AtMostOnce }
+
+// String returns the kind in words.
+func (k Kind) String() string {
+	switch k {
+	case AtMostOnce:
+		return "at-most-once"
+	case Download:
+		return "download"
+	default:
+		return "idempotent"
+	}
+}
+
+// Rank orders requests by urgency; 0 is the most urgent.
+type Rank int
+
+// Route is one class of requests with its target.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting, 0 for no limit.
+	Timeout time.Duration
+	// Objective is the latency within which an answer has its full worth.
+	Objective time.Duration
+	Rank      Rank
+	// Public routes need no key.
+	Public bool
+	// MaxAttempts is the largest number of instances one request may be sent to.
+	MaxAttempts int
+	// Parts are the services that share the requests of the route.
+	Parts []Part
+}
+
+// Part is a service with its share of a route.
+type Part struct {
+	Service string
+	Weight  int
+}
+
+// Service describes the instances of one service.
+type Service struct {
+	Name string
+	// MaxConnections is what each instance accepts from all callers together.
+	MaxConnections int
+}
+
+// Workspace is a tenant with its keys and its quota over the whole fleet.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Rank replaces the rank of the route when it is not nil.
+	Rank *Rank
+	// Rate is the quota in requests per second, 0 for none; Burst is what may
+	// come at once.
+	Rate  float64
+	Burst float64
+}
+
+// Limited reports whether the workspace has a quota.
+func (w *Workspace) Limited() bool { return w.Rate > 0 }
+
+// Limits bound what one caller can occupy. Zero means not published.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Definition is the content of a configuration before it is validated.
+type Definition struct {
+	Version    Version
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Catalog is one valid version of the configuration.
+type Catalog struct {
+	definition Definition
+	byHost     map[string][]*Route
+	byKey      map[string]*Workspace
+	services   map[string]*Service
+}
+
+// New validates a definition as a whole. Errors are *InvalidError.
+func New(d Definition) (*Catalog, error) {
+	if err := d.validate(); err != nil {
+		return nil, err
+	}
+	c := &Catalog{
+		definition: d,
+		byHost:     make(map[string][]*Route),
+		byKey:      make(map[string]*Workspace),
+		services:   make(map[string]*Service),
+	}
+	for i := range d.Routes {
+		route := &d.Routes[i]
+		c.byHost[route.Host] = append(c.byHost[route.Host], route)
+	}
+	for i := range d.Workspaces {
+		for _, key := range d.Workspaces[i].Keys {
+			c.byKey[key] = &d.Workspaces[i]
+		}
+	}
+	for i := range d.Services {
+		c.services[d.Services[i].Name] = &d.Services[i]
+	}
+	return c, nil
+}
+
+// Version returns the version of the configuration.
+func (c *Catalog) Version() Version { return c.definition.Version }
+
+// Limits returns the published limits.
+func (c *Catalog) Limits() Limits { return c.definition.Limits }
+
+// Workspaces returns all workspaces. The slice must not be changed.
+func (c *Catalog) Workspaces() []Workspace { return c.definition.Workspaces }
+
+// Routes returns all routes. The slice must not be changed.
+func (c *Catalog) Routes() []Route { return c.definition.Routes }
+
+// Service returns a service by its name, or nil.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Match returns the route with the longest prefix of the path among those of
+// the host, or nil. A port in host is ignored.
+func (c *Catalog) Match(host, path string) *Route {
+	host, _, _ = strings.Cut(host, ":")
+	var best *Route
+	for _, route := range c.byHost[host] {
+		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
+			best = route
+		}
+	}
+	return best
+}
+
+// Owner returns the workspace that holds the key, or nil.
+func (c *Catalog) Owner(key string) *Workspace { return c.byKey[key] }
+
+// RankOf returns the rank of a request: that of its workspace if it has one,
+// else that of its route.
+func RankOf(route *Route, workspace *Workspace) Rank {
+	if workspace != nil && workspace.Rank != nil {
+		return *workspace.Rank
+	}
+	return route.Rank
+}
--- /dev/null
+++ b/core/catalog/directory.go
@@ -0,0 +1,146 @@
+package catalog
+
+import (
+	"maps"
+	"time"
+
+	"github.com/toucancove/toucancove/core/member"
+)
+
+// Revision orders the changes of the store.
+type Revision uint64
+
+// Instance is one listed instance of a service.
+type Instance struct {
+	ID      member.InstanceID
+	Service string
+	// Address is the IP:port of the instance itself.
+	Address string
+	Zone    member.Zone
+	// Slots is the number of requests that it runs at the same time.
+	Slots int
+	// Boot tells starts of the instance apart; zero if not published.
+	Boot member.BootID
+	// Draining instances take no new requests.
+	Draining bool
+}
+
+// Change is one change of the list: an instance as written, or its removal.
+type Change struct {
+	ID       member.InstanceID
+	Revision Revision
+	// Instance is nil for a removal or an entry that names no usable instance.
+	Instance *Instance
+}
+
+// Directory is the list of instances at one revision of the store. It is
+// immutable; With returns a changed copy.
+type Directory struct {
+	revision  Revision
+	instances map[member.InstanceID]Instance
+	// lapsed holds removals that are not believed yet, with their time.
+	lapsed map[member.InstanceID]time.Time
+}
+
+// NewDirectory returns a list as read at one revision.
+func NewDirectory(revision Revision, instances []Instance) *Directory {
+	d := &Directory{revision: revision, instances: make(map[member.InstanceID]Instance, len(instances))}
+	for _, instance := range instances {
+		d.instances[instance.ID] = instance
+	}
+	return d
+}
+
+// Revision returns the revision of the store that the list shows.
+func (d *Directory) Revision() Revision { return d.revision }
+
+// Len returns the number of instances.
+func (d *Directory) Len() int { return len(d.instances) }
+
+// Instances returns the instances in no particular order.
+func (d *Directory) Instances() []Instance {
+	list := make([]Instance, 0, len(d.instances))
+	for _, instance := range d.instances {
+		list = append(list, instance)
+	}
+	return list
+}
+
+// With returns the list after changes, which bring it to the given revision.
+// Changes that the list already shows are passed over. With keepRemoved set,
+// removed instances stay until Expire drops them: their entries may have lapsed
+// only because the store was out of reach.
+func (d *Directory) With(now time.Time, revision Revision, changes []Change, keepRemoved bool) *Directory {
+	if len(changes) == 0 {
+		return &Directory{revision: max(revision, d.revision), instances: d.instances, lapsed: d.lapsed}
+	}
+	next := &Directory{
+		revision: max(revision, d.revision), instances: maps.Clone(d.instances), lapsed: maps.Clone(d.lapsed),
+	}
+	for _, change := range changes {
+		if change.Revision > d.revision {
+			next.apply(now, change, keepRemoved)
+		}
+	}
+	return next
+}
+
+func (d *Directory) apply(now time.Time, change Change, keepRemoved bool) {
+	delete(d.lapsed, change.ID)
+	if change.Instance != nil {
+		d.instances[change.ID] = *change.Instance
+		return
+	}
+	known, listed := d.instances[change.ID]
+	if keepRemoved && listed && !known.Draining {
+		if d.lapsed == nil {
+			d.lapsed = make(map[member.InstanceID]time.Time)
+		}
+		d.lapsed[change.ID] = now
+		return
+	}
+	delete(d.instances, change.ID)
+}
+
+// Replaced returns the list as read anew. With keepRemoved set, instances that
+// are missing from it stay until Expire drops them.
+func (d *Directory) Replaced(now time.Time, fresh *Directory, keepRemoved bool) *Directory {
+	if fresh.revision < d.revision {
+		return d
+	}
+	if !keepRemoved {
+		return fresh
+	}
+	next := &Directory{revision: fresh.revision, instances: maps.Clone(fresh.instances)}
+	for id, known := range d.instances {
+		if _, listed := fresh.instances[id]; listed || known.Draining {
+			continue
+		}
+		next.instances[id] = known
+		if next.lapsed == nil {
+			next.lapsed = make(map[member.InstanceID]time.Time)
+		}
+		next.lapsed[id] = now
+	}
+	return next
+}
+
+// Expire drops instances whose entries were removed before the cutoff and have
+// not come back.
+func (d *Directory) Expire(cutoff time.Time) *Directory {
+	expired := false
+	for _, removed := range d.lapsed {
+		expired = expired || removed.Before(cutoff)
+	}
+	if !expired {
+		return d
+	}
+	next := &Directory{revision: d.revision, instances: maps.Clone(d.instances), lapsed: maps.Clone(d.lapsed)}
+	for id, removed := range d.lapsed {
+		if removed.Before(cutoff) {
+			delete(next.instances, id)
+			delete(next.lapsed, id)
+		}
+	}
+	return next
+}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -15,11 +15,31 @@
 	budgetLife = 5 * time.Second
 )
 
-// Budget bounds the retries to one destination by its recent successes.
+// Budget bounds the retries to one destination by its recent successes. Its
+// zero value has the limits of this package.
 type Budget struct {
 	successes float64
 	retries   float64
 	at        time.Time
+
+	limited bool
+	ratio   float64
+	floor   float64
+	life    time.Duration
+}
+
+// SetLimits replaces the limits: ratio is the share of recent successes that may
+// be retries, floor the number of recent retries that are always allowed, and
+// life the time in which half of what is recent is forgotten.
+func (b *Budget) SetLimits(ratio, floor float64, life time.Duration) {
+	b.limited, b.ratio, b.floor, b.life = true, ratio, floor, life
+}
+
+func (b *Budget) limits() (ratio, floor float64, life time.Duration) {
+	if b.limited {
+		return b.ratio, b.floor, b.life
+	}
+	return budgetRatio, budgetFloor, budgetLife
 }
 
 // Succeeded records a completed first attempt or retry.
@@ -31,7 +51,8 @@
 // Take reports whether a retry is allowed, and counts it if so.
 func (b *Budget) Take(now time.Time) bool {
 	b.fade(now)
-	if b.retries+1 > budgetFloor+budgetRatio*b.successes {
+	ratio, floor, _ := b.limits()
+	if b.retries+1 > floor+ratio*b.successes {
 		return false
 	}
 	b.retries++
@@ -41,7 +62,8 @@
 func (b *Budget) fade(now time.Time) {
 	passed := now.Sub(b.at)
 	if b.at.IsZero() || passed > 0 {
-		factor := math.Exp2(-float64(passed) / float64(budgetLife))
+		_, _, life := b.limits()
+		factor := math.Exp2(-float64(passed) / float64(life))
 		b.successes *= factor
 		b.retries *= factor
 		b.at = now
--- /dev/null
+++ b/follow/state.go
@@ -0,0 +1,121 @@
+package follow
+
+import (
+	"errors"
+	"time"
+
+	"github.com/toucancove/toucancove/core/catalog"
+)
+
+const (
+	// lapseGrace is how long instances whose entries vanished around an outage
+	// of the store are kept. Live instances are back in the list within about
+	// two seconds of its return.
+	lapseGrace = 2200 * time.Millisecond
+	// massRemoval is the part of the instances of a service whose removal at
+	// once suggests that their entries lapsed during an outage that was not
+	// noticed here.
+	massRemoval = 0.5
+)
+
+// State is what a node knows of the published values.
+type State struct {
+	// Catalog is nil until a configuration is known.
+	Catalog *catalog.Catalog
+	// Directory is nil until the list has been read.
+	Directory *catalog.Directory
+	// CatalogAt and DirectoryAt are when each last changed here.
+	CatalogAt, DirectoryAt time.Time
+
+	raw []byte
+}
+
+// Configuration returns the configuration as published.
+func (s *State) Configuration() []byte { return s.raw }
+
+// Version returns the version of the configuration, 0 if none is known.
+func (s *State) Version() catalog.Version {
+	if s.Catalog == nil {
+		return 0
+	}
+	return s.Catalog.Version()
+}
+
+// Revision returns the revision of the list, 0 if it has not been read.
+func (s *State) Revision() catalog.Revision {
+	if s.Directory == nil {
+		return 0
+	}
+	return s.Directory.Revision()
+}
+
+// errOlder says that a configuration is not newer than the one in force.
+var errOlder = errors.New("configuration is not newer than the one in force")
+
+// withConfiguration returns the state with a newer configuration in force.
+func (s *State) withConfiguration(now time.Time, raw []byte, decode func([]byte) (catalog.Definition, error)) (*State, error) {
+	definition, err := decode(raw)
+	if err != nil {
+		return nil, err
+	}
+	if definition.Version <= s.Version() {
+		return nil, errOlder
+	}
+	parsed, err := catalog.New(definition)
+	if err != nil {
+		return nil, err
+	}
+	next := *s
+	next.Catalog, next.CatalogAt, next.raw = parsed, now, raw
+	return &next, nil
+}
+
+// withList returns the state with the list as read anew.
+func (s *State) withList(now time.Time, fresh *catalog.Directory, keepRemoved bool) *State {
+	next := *s
+	next.DirectoryAt = now
+	if s.Directory == nil {
+		next.Directory = fresh
+		return &next
+	}
+	next.Directory = s.Directory.Replaced(now, fresh, keepRemoved)
+	return &next
+}
+
+// withChanges returns the state with changes of the list.
+func (s *State) withChanges(now time.Time, revision catalog.Revision, changes []catalog.Change, keepRemoved bool) *State {
+	if s.Directory == nil {
+		return s
+	}
+	next := *s
+	keepRemoved = keepRemoved || s.removesMany(changes)
+	next.Directory = s.Directory.With(now, revision, changes, keepRemoved)
+	if len(changes) > 0 {
+		next.DirectoryAt = now
+	}
+	return &next
+}
+
+// removesMany reports whether the changes remove a large part of the instances
+// of a service that did not announce it.
+func (s *State) removesMany(changes []catalog.Change) bool {
+	removed := make(map[string]int)
+	listed := make(map[string]int)
+	byID := make(map[string]catalog.Instance)
+	for _, instance := range s.Directory.Instances() {
+		listed[instance.Service]++
+		byID[string(instance.ID)] = instance
+	}
+	for _, change := range changes {
+		known, ok := byID[string(change.ID)]
+		if change.Instance == nil && ok && !known.Draining {
+			removed[known.Service]++
+		}
+	}
+	for service, count := range removed {
+		if count > 1 && float64(count) >= massRemoval*float64(listed[service]) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/cmd/standin/publish.go
+++ b/internal/standin/cmd/standin/publish.go
@@ -15,7 +15,7 @@
 
 	"github.com/toucancove/toucancove/config"
 	"github.com/toucancove/toucancove/internal/standin/observer"
-	client "github.com/toucancove/toucancove/platform"
+	client "github.com/toucancove/toucancove/valuestore"
 )
 
 // spreadTimeout bounds the wait until all nodes hold a change.
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/toucancove/toucancove/config"
-	client "github.com/toucancove/toucancove/platform"
+	client "github.com/toucancove/toucancove/valuestore"
 )
 
 // Handler returns the readers' interface and, under /admin/, that of tests.
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,300 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+	"github.com/toucancove/toucancove/core/usage"
+	"github.com/toucancove/toucancove/follow"
+	"github.com/toucancove/toucancove/telemetry"
+)
+
+// Config configures a node.
+type Config struct {
+	// Node names the process in logs and reports.
+	Node string
+	Zone member.Zone
+	// Service is that of the instance beside the node.
+	Service string
+	// Upstream is the IP:port of that instance.
+	Upstream string
+	Listen   Listen
+	// Seeds are control addresses of other nodes.
+	Seeds   []string
+	Headers Headers
+	Store   follow.Store
+	Quota   usage.Tolerance
+	Retries RetryLimits
+	// Grace is the time between the request to stop and the kill.
+	Grace time.Duration
+	Log   logr.Logger
+}
+
+// Listen holds listener addresses as IP:port. All nodes of a fleet use the same
+// ports for Peer and Control.
+type Listen struct {
+	// Entry takes requests of clients and of the own instance.
+	Entry string
+	// Peer takes requests of other nodes.
+	Peer string
+	// Control takes control calls of other nodes.
+	Control string
+	// Ready answers whether the node serves.
+	Ready string
+	// Metrics serves counters and histograms.
+	Metrics string
+}
+
+// Node is one running process.
+type Node struct {
+	cfg      Config
+	log      logr.Logger
+	metrics  *telemetry.Metrics
+	follower *follow.Follower
+	routes   *routes
+	gates    *gates
+	quota    *quota
+	guard    *guard
+	peers    *peers
+	entry    *entry
+	leaving  atomic.Bool
+	active   atomic.Int64
+	group    sync.WaitGroup
+}
+
+// New wires a node. Nothing is started yet.
+func New(cfg Config) (*Node, error) {
+	peerAddress, err := netip.ParseAddrPort(cfg.Listen.Peer)
+	if err != nil {
+		return nil, eris.Wrap(err, "peer listener")
+	}
+	controlAddress, err := netip.ParseAddrPort(cfg.Listen.Control)
+	if err != nil {
+		return nil, eris.Wrap(err, "control listener")
+	}
+	n := &Node{cfg: cfg, log: cfg.Log, metrics: telemetry.NewMetrics()}
+	controlOf := func(instance catalog.Instance) string {
+		if instance.Address == cfg.Upstream {
+			return ""
+		}
+		return nodeAddress(instance, controlAddress.Port())
+	}
+	clients := newControlClients()
+	n.follower = follow.New(follow.Config{
+		Store: cfg.Store, Peer: clients, Seeds: cfg.Seeds, ControlAddress: controlOf, OnChange: n.stateChanged, Log: cfg.Log,
+	})
+	seen := func(ip string, k known) {
+		address := net.JoinHostPort(ip, fmt.Sprint(controlAddress.Port()))
+		n.follower.Seen(address, k.Version, k.Revision)
+	}
+	report := newReporter(cfg.Headers, cfg.Log, n.metrics)
+	lineage := newLineage()
+	n.routes = newRoutes(cfg.Zone, cfg.Upstream, cfg.Retries)
+	report.learn = n.routes.learn
+	n.gates = newGates(n.routes)
+	n.quota = &quota{
+		node: cfg.Node, state: n.follower.State, clients: clients, controlAddress: controlOf, log: cfg.Log,
+		limiter: usage.NewLimiter(cfg.Quota), collector: usage.NewCollector(), silent: make(map[member.InstanceID]time.Time),
+	}
+	n.peers = newPeers(cfg.Headers, peerAddress.Port(), seen)
+	n.guard = newGuard(guardConfig{
+		headers: cfg.Headers, address: cfg.Upstream, state: n.follower.State, leaving: &n.leaving,
+		lineage: lineage, report: report, log: cfg.Log, seen: seen,
+	})
+	n.entry = &entry{cfg: entryConfig{
+		headers: cfg.Headers, service: cfg.Service, nodeIP: net.IP(peerAddress.Addr().AsSlice()), state: n.follower.State,
+		leaving: &n.leaving, lineage: lineage, guard: n.guard, peers: n.peers, routes: n.routes, gates: n.gates,
+		quota: n.quota, report: report, seen: seen,
+	}}
+	return n, nil
+}
+
+// stateChanged runs on the goroutine that owns the published state.
+func (n *Node) stateChanged(state *follow.State) {
+	now := time.Now()
+	n.routes.stateChanged(now, state)
+	n.gates.stateChanged(state)
+	n.quota.stateChanged(now, state)
+	n.guard.stateChanged(state)
+}
+
+// Ready reports whether the node serves.
+func (n *Node) Ready() bool {
+	state := n.follower.State()
+	return !n.leaving.Load() && state.Catalog != nil && state.Directory != nil
+}
+
+const (
+	// leaveNotice is how long the node takes requests after it said that it is
+	// not ready: clients turn away after two questions, one a second.
+	leaveNotice = 2500 * time.Millisecond
+	// stopShare is the part of the grace period after which the node ends even
+	// if requests still run.
+	stopShare = 0.8
+	// drainCheck is the time between looks for running requests in a stop.
+	drainCheck = 20 * time.Millisecond
+	// expireInterval is the time between looks for expired idle connections.
+	expireInterval = time.Second
+)
+
+// Run serves until ctx is done, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.follower.Start(background)
+	n.group.Go(func() { n.quota.run(background) })
+	n.group.Go(func() { n.expireIdle(background) })
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() {
+			if err := s.serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- eris.Wrapf(err, "serve %s", s.name)
+			}
+		}()
+	}
+	n.log.Info("node started", "service", n.cfg.Service, "zone", n.cfg.Zone, "entry", n.cfg.Listen.Entry, "upstream", n.cfg.Upstream)
+	select {
+	case <-ctx.Done():
+		n.drain()
+	case err = <-failed:
+	}
+	cancel()
+	n.follower.Wait()
+	n.group.Wait()
+	n.log.Info("node stopped", "running", n.active.Load())
+	return err
+}
+
+// drain lets callers turn away and running requests end.
+func (n *Node) drain() {
+	n.leaving.Store(true)
+	started := time.Now()
+	n.log.Info("node stopping", "running", n.active.Load())
+	limit := time.Duration(stopShare * float64(n.cfg.Grace))
+	for {
+		passed := time.Since(started)
+		if passed >= limit || (passed >= min(leaveNotice, limit) && n.active.Load() == 0) {
+			return
+		}
+		time.Sleep(drainCheck)
+	}
+}
+
+func (n *Node) expireIdle(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.guard.link.closeExpired(now)
+			n.peers.closeExpired(now, n.follower.State())
+		}
+	}
+}
+
+// server is a listener with what serves it.
+type server struct {
+	name  string
+	serve func() error
+}
+
+// serverLimits bound what one caller can occupy.
+type serverLimits struct {
+	headerBytes  int
+	bodyBytes    int
+	connections  int
+	readTimeout  time.Duration
+	writeTimeout time.Duration
+	idleTimeout  time.Duration
+}
+
+// defaultLimits leave room above what operators publish.
+func defaultLimits() serverLimits {
+	return serverLimits{
+		headerBytes:  16 << 10,
+		bodyBytes:    64 << 20,
+		connections:  3000, // of the 3,900 sockets of a process
+		readTimeout:  20 * time.Second,
+		writeTimeout: 20 * time.Second,
+		idleTimeout:  60 * time.Second,
+	}
+}
+
+// counted counts running requests.
+func (n *Node) counted(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		n.active.Add(1)
+		defer n.active.Add(-1)
+		next(ctx)
+	}
+}
+
+func (n *Node) listen() ([]server, error) {
+	log := &serverLog{n.log}
+	entryServer := newDataServer("entry", n.counted(n.entry.handle), defaultLimits(), log)
+	guardServer := newDataServer("guard", n.counted(n.guard.handle), defaultLimits(), log)
+	ready := newDataServer("ready", n.handleReady, defaultLimits(), log)
+	metricsServer := newDataServer("metrics", n.handleMetrics, defaultLimits(), log)
+	control := newControlServer(&controlService{state: n.follower.State, quota: n.quota})
+	listeners := []struct {
+		name, address string
+		serve         func(net.Listener) error
+	}{
+		{"entry", n.cfg.Listen.Entry, func(l net.Listener) error { return entryServer.Serve(callerListener{l}) }},
+		{"peer", n.cfg.Listen.Peer, func(l net.Listener) error { return guardServer.Serve(callerListener{l}) }},
+		{"ready", n.cfg.Listen.Ready, ready.Serve},
+		{"metrics", n.cfg.Listen.Metrics, metricsServer.Serve},
+		{"control", n.cfg.Listen.Control, control.Serve},
+	}
+	var servers []server
+	for _, l := range listeners {
+		var config net.ListenConfig
+		config.SetMultipathTCP(false)
+		listener, err := config.Listen(context.Background(), "tcp", l.address)
+		if err != nil {
+			return nil, eris.Wrapf(err, "listen on %s for %s", l.address, l.name)
+		}
+		servers = append(servers, server{l.name, func() error { return l.serve(listener) }})
+	}
+	return servers, nil
+}
+
+func (n *Node) handleReady(ctx *fasthttp.RequestCtx) {
+	if !n.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (n *Node) handleMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain")
+	metrics.WriteOnce(n.metrics.Registry(), ctx)
+}
+
+// serverLog turns messages of the server library into log lines.
+type serverLog struct{ log logr.Logger }
+
+// Printf implements fasthttp.Logger. The arguments may quote requests and are
+// left out, since those may hold a key.
+func (l *serverLog) Printf(format string, _ ...any) {
+	l.log.V(1).Info("server event", "message", format)
+}
--- /dev/null
+++ b/mesh/peers.go
@@ -0,0 +1,205 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+	"github.com/toucancove/toucancove/follow"
+	"github.com/toucancove/toucancove/peer/meshpb"
+)
+
+// peers keeps the links to the guards of other nodes. It is safe for concurrent
+// use.
+type peers struct {
+	headers Headers
+	port    uint16
+	seen    func(address string, k known)
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+func newPeers(headers Headers, port uint16, seen func(address string, k known)) *peers {
+	return &peers{headers: headers, port: port, seen: seen, links: make(map[string]*link)}
+}
+
+func (p *peers) link(address string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links[address]
+	if l == nil {
+		l = newLink(address, "")
+		p.links[address] = l
+	}
+	return l
+}
+
+// closeExpired closes connections that were idle for too long, and forgets links
+// to addresses that are not listed any more.
+func (p *peers) closeExpired(now time.Time, state *follow.State) {
+	listed := make(map[string]bool)
+	if state.Directory != nil {
+		for _, instance := range state.Directory.Instances() {
+			listed[nodeAddress(instance, p.port)] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, l := range p.links {
+		if !listed[address] {
+			delete(p.links, address)
+			l.giveUpIdle(l.currentEpoch())
+			continue
+		}
+		l.closeExpired(now)
+	}
+}
+
+// send passes a request to the guard beside the chosen instance.
+func (p *peers) send(ctx context.Context, r *request, to pick) outcome {
+	address := nodeAddress(to.instance, p.port)
+	answer, err := p.link(address).exchange(ctx, r.out, exchangeOptions{
+		deadline: r.deadline, once: !r.route.Kind.Repeatable(),
+	})
+	if err != nil {
+		return exchangeFailure(ctx, err)
+	}
+	return p.guardOutcome(to.instance, answer)
+}
+
+// guardOutcome reads what a guard says besides its instance's answer.
+func (p *peers) guardOutcome(instance catalog.Instance, answer *reply) outcome {
+	header := &answer.response.Header
+	var o outcome
+	switch {
+	case len(header.Peek(headerRefused)) > 0:
+		o = refusedOutcome(reason(header.Peek(headerRefused)), "guard")
+		o.reached = o.reason == reasonConnect
+	case len(header.Peek(headerFailed)) > 0:
+		o = failedOutcome(reason(header.Peek(headerFailed)), "guard")
+	default:
+		o = answered(answer, p.headers.NotRun)
+	}
+	if h, ok := parseHint(string(header.Peek(headerHint))); ok {
+		o.hint, o.hinted = h, true
+		p.seen(instanceIP(instance), h.known)
+	}
+	if o.reply == nil {
+		answer.release()
+	}
+	return o
+}
+
+// controlClients calls the control service of other nodes. It is safe for
+// concurrent use.
+type controlClients struct {
+	http *http.Client
+
+	mu      sync.Mutex
+	clients map[string]meshpb.Mesh
+}
+
+// controlTimeout bounds a control call.
+const controlTimeout = 500 * time.Millisecond
+
+func newControlClients() *controlClients {
+	dialer := newDialer(dialTimeout)
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: defaultIdle}
+	return &controlClients{
+		http: &http.Client{Transport: transport, Timeout: controlTimeout}, clients: make(map[string]meshpb.Mesh),
+	}
+}
+
+func (c *controlClients) client(address string) meshpb.Mesh {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client := c.clients[address]
+	if client == nil {
+		client = meshpb.NewMeshProtobufClient("http://"+address, c.http)
+		c.clients[address] = client
+	}
+	return client
+}
+
+// Published implements follow.Peer.
+func (c *controlClients) Published(ctx context.Context, address string, version catalog.Version, revision catalog.Revision) (follow.Snapshot, error) {
+	answer, err := c.client(address).Published(ctx, &meshpb.PublishedRequest{Version: uint64(version), Revision: uint64(revision)})
+	if err != nil {
+		return follow.Snapshot{}, err
+	}
+	snapshot := follow.Snapshot{Revision: catalog.Revision(answer.Revision), Configuration: answer.Configuration}
+	for _, i := range answer.Instances {
+		snapshot.Instances = append(snapshot.Instances, catalog.Instance{
+			ID: member.InstanceID(i.Id), Service: i.Service, Address: i.Address, Zone: member.Zone(i.Zone),
+			Slots: int(i.Slots), Boot: member.BootID(i.BootId), Draining: i.Draining,
+		})
+	}
+	return snapshot, nil
+}
+
+// controlService answers control calls of other nodes.
+type controlService struct {
+	state func() *follow.State
+	quota *quota
+}
+
+// ReportDemand implements the twirp service.
+func (s *controlService) ReportDemand(_ context.Context, in *meshpb.DemandReport) (*meshpb.DemandTotal, error) {
+	return s.quota.collect(in), nil
+}
+
+// Published implements the twirp service.
+func (s *controlService) Published(_ context.Context, in *meshpb.PublishedRequest) (*meshpb.PublishedReply, error) {
+	state := s.state()
+	answer := &meshpb.PublishedReply{}
+	if state.Version() > catalog.Version(in.Version) {
+		answer.Configuration = state.Configuration()
+	}
+	if state.Revision() <= catalog.Revision(in.Revision) {
+		return answer, nil
+	}
+	answer.Revision = uint64(state.Revision())
+	for _, i := range state.Directory.Instances() {
+		answer.Instances = append(answer.Instances, &meshpb.Instance{
+			Id: string(i.ID), Service: i.Service, Address: i.Address, Zone: string(i.Zone),
+			Slots: uint32(max(i.Slots, 0)), BootId: uint64(i.Boot), Draining: i.Draining,
+		})
+	}
+	return answer, nil
+}
+
+// newControlServer returns the server of the control listener.
+func newControlServer(service *controlService) *http.Server {
+	const readTimeout = 5 * time.Second
+	return &http.Server{
+		Handler:     meshpb.NewMeshServer(service),
+		ReadTimeout: readTimeout, IdleTimeout: 4 * defaultIdle,
+	}
+}
+
+// newDataServer returns a server for one of the data listeners.
+func newDataServer(name string, handler fasthttp.RequestHandler, limits serverLimits, log *serverLog) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      handler,
+		Name:                         name,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		KeepHijackedConns:            false,
+		ReadBufferSize:               limits.headerBytes,
+		MaxRequestBodySize:           limits.bodyBytes,
+		Concurrency:                  limits.connections,
+		ReadTimeout:                  limits.readTimeout,
+		WriteTimeout:                 limits.writeTimeout,
+		IdleTimeout:                  limits.idleTimeout,
+		Logger:                       log,
+	}
+}
--- /dev/null
+++ b/mesh/report.go
@@ -0,0 +1,150 @@
+package mesh
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"github.com/toucancove/toucancove/telemetry"
+)
+
+const (
+	// linesPerSecond and lineBurst bound the lines about each kind of failed
+	// request. A line costs some microseconds of the node's processor.
+	linesPerSecond = 20
+	lineBurst      = 100
+	// answersPerSecond bounds the lines about answered requests, which are a
+	// sample for comparison.
+	answersPerSecond = 1
+)
+
+// reporter writes the decisions about requests to the log and the metrics. It is
+// safe for concurrent use.
+type reporter struct {
+	headers  Headers
+	log      logr.Logger
+	metrics  *telemetry.Metrics
+	failures *telemetry.Sampler
+	answers  *telemetry.Sampler
+	learn    func(r *request, latency time.Duration)
+}
+
+func newReporter(headers Headers, log logr.Logger, metrics *telemetry.Metrics) *reporter {
+	return &reporter{
+		headers: headers, log: log, metrics: metrics,
+		failures: telemetry.NewSampler(linesPerSecond, lineBurst),
+		answers:  telemetry.NewSampler(answersPerSecond, 1),
+	}
+}
+
+func workspaceName(r *request) string {
+	if r.workspace == nil {
+		return ""
+	}
+	return r.workspace.Name
+}
+
+// series returns the metrics of the request's route and workspace.
+func (p *reporter) series(r *request) []*telemetry.Series {
+	var list []*telemetry.Series
+	if r.route != nil {
+		list = append(list, p.metrics.Class(r.route.Name))
+	}
+	if r.workspace != nil {
+		list = append(list, p.metrics.Workspace(r.workspace.Name))
+	}
+	return list
+}
+
+// answered records a request that an instance answered.
+func (p *reporter) answered(r *request, status int) {
+	now := time.Now()
+	latency := now.Sub(r.arrived)
+	for _, series := range p.series(r) {
+		series.ObserveLatency(latency)
+		series.Completed.Inc(1)
+	}
+	if status < fasthttp.StatusInternalServerError {
+		p.learn(r, latency)
+	}
+	kind := "answered"
+	sampler := p.answers
+	if status >= fasthttp.StatusInternalServerError {
+		kind, sampler = "instance-error", p.failures
+	}
+	leftOut, ok := sampler.Allow(now, kind)
+	if !ok {
+		return
+	}
+	p.log.Info("request answered", "id", r.id, "route", r.route.Name, "workspace", workspaceName(r),
+		"service", r.service, "instance", r.last, "status", status, "attempts", len(r.tried),
+		"took", latency.String(), "leftOut", leftOut)
+}
+
+// refused records a request that the entry answered in place of an instance.
+func (p *reporter) refused(e *entry, r *request, answer *refusal) {
+	for _, series := range p.series(r) {
+		series.Refused(string(answer.reason))
+	}
+	now := time.Now()
+	leftOut, ok := p.failures.Allow(now, string(answer.reason))
+	if !ok {
+		return
+	}
+	state := e.cfg.state()
+	values := []any{
+		"id", r.id, "status", answer.status, "reason", answer.reason, "ran", answer.run.String(),
+		"workspace", workspaceName(r), "call", r.call, "version", state.Version(),
+		"versionAge", now.Sub(state.CatalogAt).Round(time.Millisecond).String(),
+		"revision", state.Revision(), "took", now.Sub(r.arrived).String(),
+	}
+	if r.route != nil {
+		gate := e.cfg.gates.status(r, now)
+		values = append(values, "route", r.route.Name, "service", r.service, "rank", int(r.rank), "returned", r.returned,
+			"tried", triedList(r), "budget", r.budget.String(),
+			"share", fmt.Sprintf("%.3f", gate.share), "pressure", fmt.Sprintf("%.2f", gate.pressure),
+			"pressureAge", gate.age.Round(time.Millisecond).String())
+	}
+	if answer.retryAfter > 0 {
+		values = append(values, "retryAfter", answer.retryAfter.Round(time.Millisecond).String())
+	}
+	if answer.detail != "" {
+		values = append(values, "detail", answer.detail)
+	}
+	p.log.Info("request refused", append(values, "leftOut", leftOut)...)
+}
+
+func triedList(r *request) string {
+	tried := make([]string, len(r.tried))
+	for i, id := range r.tried {
+		tried[i] = string(id)
+	}
+	return strings.Join(tried, ",")
+}
+
+// guardDecision records a request that the guard did not hand to its instance, or
+// that has no answer of it.
+func (p *reporter) guardDecision(ctx *fasthttp.RequestCtx, c guardCall, o *outcome, took time.Duration) {
+	leftOut, ok := p.failures.Allow(time.Now(), "guard-"+string(o.reason))
+	if !ok {
+		return
+	}
+	p.log.Info("guard turned request away", "id", string(ctx.Request.Header.Peek(p.headers.RequestID)),
+		"reason", o.reason, "ran", o.run.String(), "route", c.route, "rank", int(c.info.Rank), "call", c.info.Invested,
+		"pressure", o.hint.Own, "chainPressure", o.hint.Chain, "took", took.String(), "detail", o.detail, "leftOut", leftOut)
+}
+
+// String returns the run in words.
+func (r run) String() string {
+	switch r {
+	case runNo:
+		return "no"
+	case runYes:
+		return "yes"
+	default:
+		return "unknown"
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -19,10 +19,10 @@
 	"github.com/toucancove/toucancove/core/pass"
 	"github.com/toucancove/toucancove/peer"
 	"github.com/toucancove/toucancove/peer/peerpb"
-	"github.com/toucancove/toucancove/platform"
 	"github.com/toucancove/toucancove/proxy"
 	"github.com/toucancove/toucancove/settings"
 	"github.com/toucancove/toucancove/telemetry"
+	"github.com/toucancove/toucancove/valuestore"
 )
 
 // Node is one running process.
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "fleet secrets")
 	}
-	reader, err := platform.NewClient(s.Platform.Address)
+	reader, err := valuestore.NewClient(s.Platform.Address)
 	if err != nil {
 		return nil, eris.Wrap(err, "platform client")
 	}
@@ -173,7 +173,7 @@
 	return proxy.Timeouts{Read: n.settings.Limits.ReadTimeout, Write: n.settings.Limits.WriteTimeout}
 }
 
-func (n *Node) newServers(signer *pass.Signer, auth *peer.Authenticator, reader *platform.Client) {
+func (n *Node) newServers(signer *pass.Signer, auth *peer.Authenticator, reader *valuestore.Client) {
 	n.public = n.newServer("public", n.newEntry(signer, false).Handle)
 	n.local = n.newServer("loopback", n.newEntry(signer, true).Handle)
 	n.peer = n.newServer("peer", n.guard.Handle)
--- a/node/relay.go
+++ b/node/relay.go
@@ -15,8 +15,8 @@
 	"github.com/toucancove/toucancove/core/member"
 	"github.com/toucancove/toucancove/core/relay"
 	"github.com/toucancove/toucancove/peer"
-	"github.com/toucancove/toucancove/platform"
 	"github.com/toucancove/toucancove/settings"
+	"github.com/toucancove/toucancove/valuestore"
 )
 
 const (
@@ -45,9 +45,9 @@
 	boot     member.BootID
 	service  string
 	control  *control
-	reader   *platform.Client // safe for concurrent use
-	clients  *peer.Clients    // safe for concurrent use
-	leaving  func() bool      // safe for concurrent use
+	reader   *valuestore.Client // safe for concurrent use
+	clients  *peer.Clients      // safe for concurrent use
+	leaving  func() bool        // safe for concurrent use
 	state    *relay.State
 	judge    *member.Judge
 	addrs    map[member.InstanceID]string
@@ -79,7 +79,7 @@
 	return nil
 }
 
-func newRelayer(s settings.Settings, log logr.Logger, boot member.BootID, c *control, reader *platform.Client, clients *peer.Clients, leaving func() bool) *relayer {
+func newRelayer(s settings.Settings, log logr.Logger, boot member.BootID, c *control, reader *valuestore.Client, clients *peer.Clients, leaving func() bool) *relayer {
 	return &relayer{
 		log:     log,
 		self:    s.Instance,
@@ -332,9 +332,9 @@
 	switch {
 	case err == nil:
 		return relay.ReadFound
-	case eris.Is(err, platform.ErrNotModified):
+	case eris.Is(err, valuestore.ErrNotModified):
 		return relay.ReadNotModified
-	case eris.Is(err, platform.ErrNotFound):
+	case eris.Is(err, valuestore.ErrNotFound):
 		return relay.ReadNotFound
 	default:
 		return relay.ReadFailed
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,7 +4,6 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -172,28 +171,31 @@
 
 // Load reads and validates a settings file.
 func Load(path string) (Settings, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(path, data)
+}
+
+func readFile(path string) ([]byte, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return Settings{}, eris.Wrap(err, "open settings")
+		return nil, eris.Wrap(err, "open settings")
 	}
 	defer func() { _ = file.Close() }()
 	data, err := io.ReadAll(io.LimitReader(file, MaxFileBytes+1))
 	if err != nil {
-		return Settings{}, eris.Wrap(err, "read settings")
+		return nil, eris.Wrap(err, "read settings")
 	}
-	return Parse(path, data)
+	return data, nil
 }
 
 // Parse validates the content of a settings file; name is used in errors.
 func Parse(name string, data []byte) (Settings, error) {
-	if len(data) > MaxFileBytes {
-		return Settings{}, eris.Wrapf(ErrInvalid, "%s: larger than %d bytes", name, MaxFileBytes)
-	}
 	parsed := Default()
-	decoder := yaml.NewDecoder(bytes.NewReader(data))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(&parsed); err != nil {
-		return Settings{}, eris.Wrapf(ErrInvalid, "%s: %s", name, nameField(data, oneLine(err)))
+	if err := decodeStrict(name, data, &parsed); err != nil {
+		return Settings{}, err
 	}
 	if err := validate(parsed); err != nil {
 		return Settings{}, eris.Wrapf(ErrInvalid, "%s: %s", name, locate(data, err))
@@ -201,7 +203,7 @@
 	return parsed, nil
 }
 
-func validate(s Settings) error {
+func validate(s any) error {
 	check := validator.New()
 	check.RegisterTagNameFunc(yamlFieldName)
 	if err := check.RegisterValidation("ipport", isIPPort); err != nil {
@@ -228,7 +230,7 @@
 		return err.Error()
 	}
 	first := fields[0]
-	path := strings.TrimPrefix(first.Namespace(), "Settings.")
+	_, path, _ := strings.Cut(first.Namespace(), ".")
 	return fmt.Sprintf("line %d: field %s: %s", lineOf(data, path), path, reason(first))
 }
 
--- a/platform/platform.go
+++ b/valuestore/client.go
@@ -1,4 +1,4 @@
-// Package platform reads published values from the platform's configuration
+// Package valuestore reads published values from the platform's configuration
 // service over HTTP. A read may wait for a newer revision, which makes it a
 // watch; the service counts it as one call.
 //
@@ -7,7 +7,7 @@
 // answers 200 with the body and the header X-Revision, 304 if nothing newer
 // than after was published by the end of the wait, 404 if the value isn't
 // known, 429 above the service's call rate and 503 while it is down.
-package platform
+package valuestore
 
 import (
 	"context"
--- a/platform/platform_test.go
+++ b/valuestore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package valuestore_test
 
 import (
 	"context"
@@ -14,15 +14,15 @@
 
 	"github.com/toucancove/toucancove/config"
 	standin "github.com/toucancove/toucancove/internal/standin/platform"
-	"github.com/toucancove/toucancove/platform"
+	"github.com/toucancove/toucancove/valuestore"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func start(t *testing.T, handler http.Handler) *platform.Client {
+func start(t *testing.T, handler http.Handler) *valuestore.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	client, err := platform.NewClient(strings.TrimPrefix(server.URL, "http://"))
+	client, err := valuestore.NewClient(strings.TrimPrefix(server.URL, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,13 +42,13 @@
 		err    error
 	}{
 		{name: "newest", read: name, want: 2},
-		{name: "nothing newer", read: name, after: 2, err: platform.ErrNotModified},
-		{name: "unknown", read: "keys/1", err: platform.ErrNotFound},
-		{name: "too large", read: "fleet", err: platform.ErrTooLarge},
-		{name: "outage", read: name, faults: standin.Faults{Outage: true}, err: platform.ErrUnavailable},
+		{name: "nothing newer", read: name, after: 2, err: valuestore.ErrNotModified},
+		{name: "unknown", read: "keys/1", err: valuestore.ErrNotFound},
+		{name: "too large", read: "fleet", err: valuestore.ErrTooLarge},
+		{name: "outage", read: name, faults: standin.Faults{Outage: true}, err: valuestore.ErrUnavailable},
 		{name: "backwards", read: name, after: 2, faults: standin.Faults{Backwards: true}, want: 1},
-		{name: "lag", read: name, faults: standin.Faults{LagMillis: 3_600_000}, err: platform.ErrNotFound},
-		{name: "over the ceiling", config: standin.Config{Ceiling: -1}, read: name, err: platform.ErrThrottled},
+		{name: "lag", read: name, faults: standin.Faults{LagMillis: 3_600_000}, err: valuestore.ErrNotFound},
+		{name: "over the ceiling", config: standin.Config{Ceiling: -1}, read: name, err: valuestore.ErrThrottled},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -92,7 +92,7 @@
 	server := standin.New(standin.Config{})
 	client := start(t, server.Handler())
 	first := server.Publish("fleet", nil)
-	got := make(chan platform.Value)
+	got := make(chan valuestore.Value)
 	go func() {
 		value, _ := client.Get(context.Background(), "fleet", first, time.Minute)
 		got <- value
@@ -133,13 +133,13 @@
 		answer http.HandlerFunc
 		err    error
 	}{
-		{"no revision", func(http.ResponseWriter, *http.Request) {}, platform.ErrMalformed},
+		{"no revision", func(http.ResponseWriter, *http.Request) {}, valuestore.ErrMalformed},
 		{"cut body", func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(platform.RevisionHeader, "1")
+			w.Header().Set(valuestore.RevisionHeader, "1")
 			w.Header().Set("Content-Length", "10")
 			_, _ = w.Write([]byte("cut"))
-		}, platform.ErrUnavailable},
-		{"status of an error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, platform.ErrUnavailable},
+		}, valuestore.ErrUnavailable},
+		{"status of an error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, valuestore.ErrUnavailable},
 	}
 	for _, tt := range tests {
 		client := start(t, tt.answer)
@@ -147,7 +147,7 @@
 			t.Errorf("%s: %v; want %v", tt.name, err, tt.err)
 		}
 	}
-	if _, err := platform.NewClient("host:80"); !errors.Is(err, platform.ErrAddress) {
+	if _, err := valuestore.NewClient("host:80"); !errors.Is(err, valuestore.ErrAddress) {
 		t.Errorf("host name accepted: %v", err)
 	}
 }
