Order quota after load, eject rejecting instances, rank by workspace and route

(2) An instance that rejects below its slots counted as healthy; with ten calls a request nearly every chain failed. (3) The rank of a workspace replaced that of the route, and all workspaces have the same one. (4) Removed entries were kept beyond the bound for draining. (5) A retry budget could be spent at once and again within the window.

Ruled out: smaller retry budgets alone (a third of the instances rejecting needs more than the whole budget).

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -36,9 +37,18 @@
 	}
 }
 
-// Rank orders requests by urgency; 0 is the most urgent.
+// Rank orders requests by urgency, the most urgent first: by the rank of the
+// workspace, then by that of the route.
 type Rank int
 
+// routeRanks is the number of ranks of routes within one rank of workspaces.
+const routeRanks = 1000
+
+// rankOf combines the published ranks.
+func rankOf(workspace, route int) Rank {
+	return Rank(workspace*routeRanks + min(max(route, 0), routeRanks-1))
+}
+
 // Route is one class of requests with its target.
 type Route struct {
 	Name string
@@ -50,7 +60,8 @@
 	Timeout time.Duration
 	// Objective is the latency within which an answer has its full worth.
 	Objective time.Duration
-	Rank      Rank
+	// Rank orders the routes; 0 is the most urgent.
+	Rank int
 	// Public routes need no key.
 	Public bool
 	// MaxAttempts is the largest number of instances one request may be sent to.
@@ -76,8 +87,9 @@
 type Workspace struct {
 	Name string
 	Keys []string
-	// Rank replaces the rank of the route when it is not nil.
-	Rank *Rank
+	// Rank orders the workspaces and goes before the rank of the route; 0 is the
+	// most urgent.
+	Rank int
 	// Rate is the quota in requests per second, 0 for none; Burst is what may
 	// come at once.
 	Rate  float64
@@ -110,6 +122,9 @@
 	byHost     map[string][]*Route
 	byKey      map[string]*Workspace
 	services   map[string]*Service
+	// firstWorkspace is the rank of the most urgent workspace.
+	firstWorkspace int
+	ranks          []Rank
 }
 
 // New validates a definition as a whole. Errors are *InvalidError.
@@ -135,6 +150,7 @@
 	for i := range d.Services {
 		c.services[d.Services[i].Name] = &d.Services[i]
 	}
+	c.setRanks()
 	return c, nil
 }
 
@@ -169,11 +185,38 @@
 // Owner returns the workspace that holds the key, or nil.
 func (c *Catalog) Owner(key string) *Workspace { return c.byKey[key] }
 
-// RankOf returns the rank of a request: that of its workspace if it has one,
-// else that of its route.
-func RankOf(route *Route, workspace *Workspace) Rank {
-	if workspace != nil && workspace.Rank != nil {
-		return *workspace.Rank
+// RankOf returns the rank of a request. Requests without a workspace have the
+// rank of the most urgent one.
+func (c *Catalog) RankOf(route *Route, workspace *Workspace) Rank {
+	if workspace == nil {
+		return rankOf(c.firstWorkspace, route.Rank)
+	}
+	return rankOf(workspace.Rank, route.Rank)
+}
+
+// Ranks returns the ranks of requests that need a key, in order.
+func (c *Catalog) Ranks() []Rank { return c.ranks }
+
+func (c *Catalog) setRanks() {
+	workspaces, routes := []int{}, []int{}
+	for _, workspace := range c.definition.Workspaces {
+		workspaces = append(workspaces, workspace.Rank)
+	}
+	if len(workspaces) > 0 {
+		c.firstWorkspace = slices.Min(workspaces)
+	} else {
+		workspaces = []int{0}
+	}
+	for _, route := range c.definition.Routes {
+		if !route.Public {
+			routes = append(routes, route.Rank)
+		}
+	}
+	for _, workspace := range workspaces {
+		for _, route := range routes {
+			c.ranks = append(c.ranks, rankOf(workspace, route))
+		}
 	}
-	return route.Rank
+	slices.Sort(c.ranks)
+	c.ranks = slices.Compact(c.ranks)
 }
--- a/core/routing/evidence.go
+++ b/core/routing/evidence.go
@@ -3,14 +3,7 @@
 import "time"
 
 const (
-	// Weight of one piece of evidence in an instance's failure share.
-	failedWeight  = 0.2
-	lostWeight    = 0.4
 	connectWeight = 1.0
-	// ejectShare is the failure share above which an instance is ejected.
-	ejectShare = 0.5
-	// maxEjected is the largest share of a table that is ejected at a time.
-	maxEjected = 0.5
 	// Back-off before a probe: doubles with each ejection in a row.
 	firstBackoff = time.Second
 	maxBackoff   = 30 * time.Second
@@ -56,9 +49,9 @@
 	case Refused:
 		t.succeeded(now, i)
 	case Failed:
-		t.failed(now, i, failedWeight, c.Probe)
+		t.failed(now, i, t.policy.FailedWeight, c.Probe)
 	case Lost:
-		t.failed(now, i, lostWeight, c.Probe)
+		t.failed(now, i, t.policy.LostWeight, c.Probe)
 	case ConnectFailed:
 		t.failed(now, i, connectWeight, c.Probe)
 	}
@@ -106,7 +99,7 @@
 }
 
 func (t *Table) succeeded(now time.Time, i *instance) {
-	i.failure -= failedWeight * i.failure
+	i.failure -= t.policy.FailedWeight * i.failure
 	i.unconnected = false
 	i.suspectUntil = time.Time{}
 	if i.ejected {
@@ -132,7 +125,7 @@
 		t.release()
 		return
 	}
-	if i.failure <= ejectShare {
+	if i.failure <= t.policy.EjectShare {
 		return
 	}
 	if t.standsOut(i) {
@@ -227,7 +220,7 @@
 }
 
 func (t *Table) maxEjected() int {
-	return int(maxEjected * float64(len(t.instances)))
+	return int(t.policy.MaxEjected * float64(len(t.instances)))
 }
 
 // firstEjected returns the matching ejected instance that is to be probed first,
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -13,8 +13,29 @@
 // defaultLatency is the typical latency before any has been measured.
 const defaultLatency = 5 * time.Millisecond
 
+// Policy says how evidence counts against an instance.
+type Policy struct {
+	// FailedWeight and LostWeight are the weights of one failed and one lost
+	// attempt in an instance's failure share.
+	FailedWeight, LostWeight float64
+	// EjectShare is the failure share above which an instance is ejected.
+	EjectShare float64
+	// MaxEjected is the largest share of a table that is ejected at a time.
+	MaxEjected float64
+}
+
+// DefaultPolicy suits single calls: an instance is given up once it fails half
+// of them.
+var DefaultPolicy = Policy{FailedWeight: 0.2, LostWeight: 0.4, EjectShare: 0.5, MaxEjected: 0.5}
+
+// ChainPolicy suits calls that a request makes many of, so that a small share of
+// failures fails most requests: instances are given up at a smaller share, and
+// one of four may carry the rest.
+var ChainPolicy = Policy{FailedWeight: 0.1, LostWeight: 0.2, EjectShare: 0.3, MaxEjected: 0.75}
+
 // Table holds the instances of one service as one entry sees them.
 type Table struct {
+	policy    Policy
 	own       *zoneCost
 	instances []*instance
 	zones     []*zoneCost
@@ -27,9 +48,12 @@
 }
 
 // NewTable returns an empty table for an entry in the given zone.
-func NewTable(zone member.Zone) *Table {
+func NewTable(zone member.Zone) *Table { return NewTableWith(zone, DefaultPolicy) }
+
+// NewTableWith returns an empty table with a policy of its own.
+func NewTableWith(zone member.Zone, policy Policy) *Table {
 	own := &zoneCost{zone: zone}
-	return &Table{own: own, zones: []*zoneCost{own}}
+	return &Table{policy: policy, own: own, zones: []*zoneCost{own}}
 }
 
 // Update replaces the list of candidates. What is known of those that stay is
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -23,8 +23,10 @@
 	// requests wait for slots; with some tens of slots this is near nine tenths
 	// of the capacity.
 	baseTarget = 1.0
-	// rankStep is what each more urgent rank may add to it.
-	rankStep = 0.2
+	// rankStep is what each more urgent rank may add to it, and maxExtra bounds
+	// the sum. Requests that wait as long as they run still meet most deadlines.
+	rankStep = 0.4
+	maxExtra = 1.0
 	// gain is the relative change of the share in a second for a pressure that
 	// is off by one. A chain answers after about half a second, which bounds it.
 	gain = 1.5
@@ -54,7 +56,7 @@
 // NewGate returns an open gate. level is the number of published ranks that are
 // less urgent than that of the gate.
 func NewGate(level int) *Gate {
-	return &Gate{target: baseTarget + rankStep*float64(level), share: 1}
+	return &Gate{target: baseTarget + min(rankStep*float64(level), maxExtra), share: 1}
 }
 
 // Observe takes the pressure that an answer carried.
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -128,6 +128,13 @@
 	return false, min(wait, maxRetryAfter)
 }
 
+// GiveBack returns what a request of the workspace took that did not run.
+func (l *Limiter) GiveBack(workspace string) {
+	if b := l.buckets[workspace]; b != nil {
+		b.tokens = min(b.tokens+1, b.depth(l.tolerance))
+	}
+}
+
 // Demands returns what this node has been asked for, for a report.
 func (l *Limiter) Demands(now time.Time) []Demand {
 	var list []Demand
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// watchWait is how long one watch waits. The store charges each call, and
-	// dead connections are noticed by keep-alive probes and by newer revisions
-	// on the data path, so it can be long.
-	watchWait = 10 * time.Second
+	// watchWait is how long one watch waits. A watch may die without a sign, so
+	// its wait and another read must fit into the three seconds after which a
+	// node must be up to date again; the store charges each call.
+	watchWait = 2500 * time.Millisecond
 	// readTimeout bounds one read of everything.
 	readTimeout = 3 * time.Second
 	// watchMargin is how much longer than its wait a watch may take.
@@ -192,7 +192,8 @@
 		return
 	}
 	f.publish(next)
-	f.cfg.Log.Info("configuration in force", "source", source, "version", next.Version())
+	f.cfg.Log.Info("configuration in force", "source", source, "version", next.Version(),
+		"routes", len(next.Catalog.Routes()), "workspaces", len(next.Catalog.Workspaces()))
 }
 
 // Sources of findings.
--- a/follow/state.go
+++ b/follow/state.go
@@ -10,8 +10,9 @@
 const (
 	// lapseGrace is how long instances whose entries vanished around an outage
 	// of the store are kept. Live instances are back in the list within about
-	// two seconds of its return.
-	lapseGrace = 2200 * time.Millisecond
+	// two seconds of its return; one that left without notice must get no new
+	// requests two seconds after it did.
+	lapseGrace = 1700 * time.Millisecond
 	// massRemoval is the part of the instances of a service whose removal at
 	// once suggests that their entries lapsed during an outage that was not
 	// noticed here.
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -127,7 +127,7 @@
 	}
 	e.setTimes(ctx, r)
 	r.call = e.cfg.nodeIP != nil && r.workspace == nil && e.cfg.nodeIP.Equal(ctx.RemoteIP())
-	r.rank = catalog.RankOf(r.route, r.workspace)
+	r.rank = state.Catalog.RankOf(r.route, r.workspace)
 	if r.call {
 		if r.parent = e.cfg.lineage.parentOf(r.arrived.Add(r.budget)); r.parent != nil {
 			r.rank = r.parent.rank
@@ -156,16 +156,18 @@
 		return nil
 	}
 	r.returned = e.cfg.gates.returned(r)
-	if r.workspace != nil {
-		if ok, retryAfter := e.cfg.quota.take(r.arrived, r.workspace.Name); !ok {
-			return &refusal{status: fasthttp.StatusTooManyRequests, reason: reasonQuota, retryAfter: retryAfter}
-		}
-	}
 	if !e.cfg.gates.admit(r, rand.Float64()) {
 		return &refusal{
 			status: fasthttp.StatusServiceUnavailable, reason: reasonShed, retryAfter: e.cfg.gates.retryAfter(r),
 		}
 	}
+	// The quota counts what runs: a request that the load turns away takes
+	// nothing from it.
+	if r.workspace != nil {
+		if ok, retryAfter := e.cfg.quota.take(r.arrived, r.workspace.Name); !ok {
+			return &refusal{status: fasthttp.StatusTooManyRequests, reason: reasonQuota, retryAfter: retryAfter}
+		}
+	}
 	return nil
 }
 
@@ -193,6 +195,9 @@
 		return
 	}
 	o.release()
+	if o.run == runNo && r.workspace != nil {
+		e.cfg.quota.giveBack(r.workspace.Name)
+	}
 	e.refuse(ctx, r, e.finalRefusal(r, &o))
 }
 
--- a/mesh/gates.go
+++ b/mesh/gates.go
@@ -50,17 +50,7 @@
 	if state.Catalog == nil {
 		return
 	}
-	var ranks []catalog.Rank
-	for _, route := range state.Catalog.Routes() {
-		ranks = append(ranks, route.Rank)
-	}
-	for _, workspace := range state.Catalog.Workspaces() {
-		if workspace.Rank != nil {
-			ranks = append(ranks, *workspace.Rank)
-		}
-	}
-	slices.Sort(ranks)
-	ranks = slices.Compact(ranks)
+	ranks := state.Catalog.Ranks()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !slices.Equal(ranks, g.ranks) {
--- a/mesh/outcome.go
+++ b/mesh/outcome.go
@@ -85,8 +85,11 @@
 // result is what the outcome says about the instance.
 func (o *outcome) result() routing.Result {
 	switch o.reason {
-	case reasonOverloaded, reasonTooLate, reasonRejected:
+	case reasonOverloaded, reasonTooLate:
 		return routing.Refused
+	case reasonRejected:
+		// Its guard keeps it below its slots, so it has no reason to reject.
+		return routing.Failed
 	case reasonConnect, reasonWrongHost, reasonDraining, reasonLeaving:
 		return routing.ConnectFailed
 	case reasonTimeout:
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -46,6 +46,13 @@
 	return q.limiter.Take(now, workspace)
 }
 
+// giveBack returns what a request took that did not run.
+func (q *quota) giveBack(workspace string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.limiter.GiveBack(workspace)
+}
+
 // stateChanged takes the published quotas and the size of the fleet.
 func (q *quota) stateChanged(now time.Time, state *follow.State) {
 	if state.Catalog == nil {
--- a/mesh/routes.go
+++ b/mesh/routes.go
@@ -49,7 +49,14 @@
 // repeats its calls too, which count at their services.
 const (
 	rejectedShare = 0.5
-	repeatedShare = 0.15
+	repeatedShare = 0.12
+	// slackShare is the part of the slack that each kind may use: it comes back
+	// several times in a window.
+	slackShare = 0.1
+	// budgetLife is the part of the window in which half of what a budget
+	// counted is forgotten. A budget that is spent at once and then as it comes
+	// back stays within 1.4 times its ratio in any window.
+	budgetLife = 0.25
 )
 
 // pick is an instance chosen for one attempt.
@@ -117,7 +124,7 @@
 }
 
 func newServiceTable(zone member.Zone) *serviceTable {
-	return &serviceTable{table: routing.NewTable(zone), latency: make(map[string]time.Duration)}
+	return &serviceTable{table: routing.NewTableWith(zone, routing.ChainPolicy), latency: make(map[string]time.Duration)}
 }
 
 func (t *serviceTable) update(now time.Time, listed []catalog.Instance) {
@@ -141,9 +148,10 @@
 func (t *serviceTable) setBudgets(limits RetryLimits, nodes int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	slack := limits.Slack / float64(max(nodes, 1))
-	t.budgets[rejected].SetLimits(rejectedShare*limits.Ratio, rejectedShare*slack, limits.Window)
-	t.budgets[repeated].SetLimits(repeatedShare*limits.Ratio, repeatedShare*slack, limits.Window)
+	slack := slackShare * limits.Slack / float64(max(nodes, 1))
+	life := time.Duration(budgetLife * float64(limits.Window))
+	t.budgets[rejected].SetLimits(rejectedShare*limits.Ratio, slack, life)
+	t.budgets[repeated].SetLimits(repeatedShare*limits.Ratio, slack, life)
 }
 
 func (s *routes) service(name string) *serviceTable {
