Probe leaving nodes after a restart; announce a stop late; tell timeouts apart

Cause: a node that reported to leave was passed over for 20 s, though it is back in four; a rolling restart of the three nodes of a service left it without an instance. It also told entries to turn away at the SIGTERM, two seconds before it had to. A timeout of the HTTP library was taken for a lost answer.

--- a/core/routing/evidence.go
+++ b/core/routing/evidence.go
@@ -64,7 +64,7 @@
 		i.restart(now, r.Boot)
 	}
 	i.heardAt = now
-	i.learnState(now, sent, r.State)
+	i.learnState(now, sent, r.State, t.policy.LeavingLife)
 	delay := r.QueueDelay
 	if o.Result == Refused {
 		delay = max(delay, refusedDelay)
@@ -116,7 +116,7 @@
 	i.unconnected = weight == connectWeight
 	t.countBusy(now, i)
 	if probe && i.State != Serving {
-		i.setState(now, i.State)
+		i.setState(now, i.State, t.policy.LeavingLife)
 	}
 	if i.ejected {
 		if probe {
--- a/core/routing/instance.go
+++ b/core/routing/instance.go
@@ -25,14 +25,11 @@
 	// zoneAnswers is the number of answers after which a zone's latency is
 	// taken for known.
 	zoneAnswers = 50
-	// slowStart is the time over which a new instance's share of its draws
-	// grows from slowStartShare to all of them.
-	slowStart      = 10 * time.Second
+	// slowStartShare is the share of its draws that a new instance begins with.
 	slowStartShare = 0.1
-	// drainingLife and leavingLife are the times after which an instance that
-	// reported to drain or leave is probed.
+	// drainingLife is the time after which an instance that reported to drain
+	// is probed.
 	drainingLife = 10 * time.Second
-	leavingLife  = 20 * time.Second
 )
 
 // sample is a smoothed measurement that fades with age.
@@ -125,7 +122,7 @@
 }
 
 // taken reports whether an instance in slow start takes this draw.
-func (i *instance) taken(now time.Time, random uint64) bool {
+func (i *instance) taken(now time.Time, random uint64, slowStart time.Duration) bool {
 	age := now.Sub(i.startedAt)
 	if age >= slowStart {
 		i.startedAt = time.Time{}
@@ -142,18 +139,18 @@
 // learnState takes the state from a response to an attempt that was sent at the
 // given time. A response that was under way when the instance began to leave
 // does not end that.
-func (i *instance) learnState(now, sent time.Time, s State) {
+func (i *instance) learnState(now, sent time.Time, s State, leavingLife time.Duration) {
 	if s == Serving && i.State != Serving {
 		if sent.Before(i.stateAt) {
 			return
 		}
 		i.startedAt = now
 	}
-	i.setState(now, s)
+	i.setState(now, s, leavingLife)
 }
 
 // setState records what a response said about new work.
-func (i *instance) setState(now time.Time, s State) {
+func (i *instance) setState(now time.Time, s State, leavingLife time.Duration) {
 	i.State = s
 	i.stateAt = now
 	switch s {
@@ -173,7 +170,7 @@
 	if !known {
 		return
 	}
-	i.setState(now, Serving)
+	i.setState(now, Serving, 0)
 	i.startedAt = now
 	i.latency = sample{}
 	i.queueDelay = sample{}
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -67,7 +67,7 @@
 			group = &own
 		}
 		seed = mix(seed)
-		if !i.startedAt.IsZero() && !i.taken(now, seed) {
+		if !i.startedAt.IsZero() && !i.taken(now, seed, t.policy.SlowStart) {
 			group.holdBack(i, mix(seed))
 			continue
 		}
@@ -87,9 +87,18 @@
 }
 
 // lastResort returns an ejected instance, for when all others are leaving or
-// draining.
+// draining, or if the policy says so one of those.
 func (t *Table) lastResort() *instance {
-	return t.firstEjected((*instance).takesWork)
+	if i := t.firstEjected((*instance).takesWork); i != nil || !t.policy.UseLeaving {
+		return i
+	}
+	var first *instance
+	for _, i := range t.instances {
+		if i.listed == Serving && (first == nil || i.stateUntil.Before(first.stateUntil)) {
+			first = i
+		}
+	}
+	return first
 }
 
 func (t *Table) start(now time.Time, i *instance, probe bool) Choice {
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -22,16 +22,32 @@
 	EjectShare float64
 	// MaxEjected is the largest share of a table that is ejected at a time.
 	MaxEjected float64
+	// SlowStart is the time over which a new instance's share of its draws
+	// grows to all of them.
+	SlowStart time.Duration
+	// LeavingLife is the time after which an instance that reported to leave is
+	// probed.
+	LeavingLife time.Duration
+	// UseLeaving lets an instance that reported to leave take a request when
+	// there is no other.
+	UseLeaving bool
 }
 
 // DefaultPolicy suits single calls: an instance is given up once it fails half
 // of them.
-var DefaultPolicy = Policy{FailedWeight: 0.2, LostWeight: 0.4, EjectShare: 0.5, MaxEjected: 0.5}
+var DefaultPolicy = Policy{
+	FailedWeight: 0.2, LostWeight: 0.4, EjectShare: 0.5, MaxEjected: 0.5,
+	SlowStart: 10 * time.Second, LeavingLife: 20 * time.Second,
+}
 
 // ChainPolicy suits calls that a request makes many of, so that a small share of
 // failures fails most requests: instances are given up at a smaller share, and
-// one of four may carry the rest.
-var ChainPolicy = Policy{FailedWeight: 0.1, LostWeight: 0.2, EjectShare: 0.3, MaxEjected: 0.75}
+// one of four may carry the rest. A node that leaves is soon back, since its
+// instance stays: it is probed when a restart can have ended.
+var ChainPolicy = Policy{
+	FailedWeight: 0.1, LostWeight: 0.2, EjectShare: 0.3, MaxEjected: 0.75,
+	SlowStart: 3 * time.Second, LeavingLife: 2 * time.Second, UseLeaving: true,
+}
 
 // Table holds the instances of one service as one entry sees them.
 type Table struct {
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -200,7 +200,7 @@
 func TestOnlyOneProbeOfALeavingInstance(t *testing.T) {
 	table := newFleet(2, "a")
 	observe(t, table, start, "i0", Outcome{Report: &Report{Boot: 1, State: Leaving}})
-	now := start.Add(leavingLife)
+	now := start.Add(DefaultPolicy.LeavingLife)
 	table.Update(now, fleet(2, "a"))
 	probe, err := table.Pick(now, 1, Request{Retryable: true})
 	if err != nil || !probe.Probe {
@@ -210,7 +210,7 @@
 		t.Errorf("%d requests besides the probe, want 0", seen["i0"])
 	}
 	table.Finish(now, probe, Outcome{Result: ConnectFailed})
-	if seen := draws(table, now.Add(leavingLife-1), 100, Request{Retryable: true}); seen["i0"] != 0 {
+	if seen := draws(table, now.Add(DefaultPolicy.LeavingLife-1), 100, Request{Retryable: true}); seen["i0"] != 0 {
 		t.Errorf("%d requests soon after a failed probe, want 0", seen["i0"])
 	}
 }
@@ -384,12 +384,12 @@
 	for _, tt := range []struct {
 		age time.Duration
 		max float64
-	}{{0, 0.3}, {slowStart / 2, 0.8}} {
+	}{{0, 0.3}, {DefaultPolicy.SlowStart / 2, 0.8}} {
 		if got := float64(draws(table, start.Add(tt.age), 4000, Request{})["i3"]); got == 0 || got > tt.max*even {
 			t.Errorf("new instance drawn %v times at age %v, want 1 to %v", got, tt.age, tt.max*even)
 		}
 	}
-	if got := float64(draws(table, start.Add(slowStart), 4000, Request{})["i3"]); got < 0.8*even {
+	if got := float64(draws(table, start.Add(DefaultPolicy.SlowStart), 4000, Request{})["i3"]); got < 0.8*even {
 		t.Errorf("instance drawn %v times after its slow start, want about %v", got, even)
 	}
 	alone := newFleet(1, "a")
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -33,6 +33,7 @@
 	nodeIP  net.IP
 	state   func() *follow.State
 	leaving *atomic.Bool
+	closed  *atomic.Bool
 	lineage *lineage
 	guard   *guard
 	peers   *peers
@@ -127,6 +128,9 @@
 	}
 	e.setTimes(ctx, r)
 	r.call = e.cfg.nodeIP != nil && r.workspace == nil && e.cfg.nodeIP.Equal(ctx.RemoteIP())
+	if !r.call && e.cfg.closed.Load() {
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: notReadyRetry}
+	}
 	r.rank = state.Catalog.RankOf(r.route, r.workspace)
 	if r.call {
 		if r.parent = e.cfg.lineage.parentOf(r.arrived.Add(r.budget)); r.parent != nil {
@@ -235,6 +239,9 @@
 	for {
 		route, err := e.cfg.routes.pick(r)
 		if err != nil {
+			if last.reason == reasonNoInstance {
+				e.cfg.gates.observeTimeout(r, r.arrived)
+			}
 			return last
 		}
 		last.release()
--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -35,6 +35,7 @@
 	address string
 	state   func() *follow.State
 	leaving *atomic.Bool
+	closed  *atomic.Bool
 	lineage *lineage
 	report  *reporter
 	log     logr.Logger
@@ -109,6 +110,9 @@
 	if own, listed := g.own(g.cfg.state()); listed && own.Draining {
 		return refusedOutcome(reasonDraining, "")
 	}
+	if g.cfg.closed.Load() {
+		return refusedOutcome(reasonLeaving, "")
+	}
 	verdict := g.acquire(ctx, c)
 	switch verdict {
 	case slots.Run:
@@ -231,7 +235,7 @@
 		r = reasonGone
 	case notRun:
 		r = reasonConnect
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
 		r = reasonTimeout
 	}
 	if notRun {
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		stop()
 		_ = conn.Close()
-		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) {
+		if errors.Is(err, syscall.ETIMEDOUT) {
 			l.giveUpIdle(conn.epoch)
 		}
 		return nil, err
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -71,9 +71,12 @@
 	guard    *guard
 	peers    *peers
 	entry    *entry
-	leaving  atomic.Bool
-	active   atomic.Int64
-	group    sync.WaitGroup
+	// leaving is set once a planned stop has begun, announced once the guard
+	// tells entries to turn away, guardClosed once it takes no more of their
+	// requests, and closed once the entry takes no more of clients.
+	leaving, announced, guardClosed, closed atomic.Bool
+	active                                  atomic.Int64
+	group                                   sync.WaitGroup
 }
 
 // New wires a node. Nothing is started yet.
@@ -112,12 +115,12 @@
 	}
 	n.peers = newPeers(cfg.Headers, peerAddress.Port(), seen)
 	n.guard = newGuard(guardConfig{
-		headers: cfg.Headers, address: cfg.Upstream, state: n.follower.State, leaving: &n.leaving,
+		headers: cfg.Headers, address: cfg.Upstream, state: n.follower.State, leaving: &n.announced, closed: &n.guardClosed,
 		lineage: lineage, report: report, log: cfg.Log, seen: seen,
 	})
 	n.entry = &entry{cfg: entryConfig{
 		headers: cfg.Headers, service: cfg.Service, nodeIP: net.IP(peerAddress.Addr().AsSlice()), state: n.follower.State,
-		leaving: &n.leaving, lineage: lineage, guard: n.guard, peers: n.peers, routes: n.routes, gates: n.gates,
+		leaving: &n.leaving, closed: &n.closed, lineage: lineage, guard: n.guard, peers: n.peers, routes: n.routes, gates: n.gates,
 		quota: n.quota, report: report, seen: seen,
 	}}
 	return n, nil
@@ -142,9 +145,16 @@
 	// leaveNotice is how long the node takes requests after it said that it is
 	// not ready: clients turn away after two questions, one a second.
 	leaveNotice = 2500 * time.Millisecond
+	// announceBefore is how long before that its guard tells the entries of
+	// other nodes to turn away. They hear it with the next answer, and the
+	// instance is of use until then.
+	announceBefore = 400 * time.Millisecond
+	// acceptShare is the part of the grace period for which a stopping node
+	// takes requests of clients: what it takes must be able to end.
+	acceptShare = 0.5
 	// stopShare is the part of the grace period after which the node ends even
 	// if requests still run.
-	stopShare = 0.8
+	stopShare = 0.97
 	// drainCheck is the time between looks for running requests in a stop.
 	drainCheck = 20 * time.Millisecond
 	// expireInterval is the time between looks for expired idle connections.
@@ -188,6 +198,17 @@
 	n.leaving.Store(true)
 	started := time.Now()
 	n.log.Info("node stopping", "running", n.active.Load())
+	for _, step := range []struct {
+		after time.Duration
+		flag  *atomic.Bool
+	}{
+		{leaveNotice - announceBefore, &n.announced},
+		{leaveNotice, &n.guardClosed},
+		{time.Duration(acceptShare * float64(n.cfg.Grace)), &n.closed},
+	} {
+		timer := time.AfterFunc(step.after, func() { step.flag.Store(true) })
+		defer timer.Stop()
+	}
 	limit := time.Duration(stopShare * float64(n.cfg.Grace))
 	for {
 		passed := time.Since(started)
