--- /dev/null
+++ b/core/usage/limiter.go
@@ -0,0 +1,268 @@
+package usage
+
+import (
+	"math"
+	"time"
+
+	"github.com/toucancove/toucancove/core/catalog"
+)
+
+const (
+	// demandTime is the time constant of the measured demand.
+	demandTime = time.Second
+	// lotTime is the demand that a lot covers. Nodes draw more often.
+	lotTime = 400 * time.Millisecond
+	// spareTokens is what a lot holds besides.
+	spareTokens = 0.5
+	// keepFactor is how many times its size a lot may hold before a part is
+	// given back.
+	keepFactor = 2
+	// silence is the time without an answer of a collector after which a node
+	// mints for itself.
+	silence = 700 * time.Millisecond
+	// leastDemand is the demand in requests per second below which a workspace
+	// counts as not in use at a node.
+	leastDemand = 0.05
+	// maxRetryAfter bounds the time that a refused caller is told to wait.
+	maxRetryAfter = 5 * time.Second
+)
+
+// Draw is what a node asks of the pool for one workspace.
+type Draw struct {
+	Workspace string
+	// Wanted is the number of tokens asked for; a negative one gives back.
+	Wanted float64
+	// Held is the number of tokens that the node holds then.
+	Held float64
+	// Demand is the demand at the node in requests per second.
+	Demand float64
+}
+
+// Grant is the answer to a Draw.
+type Grant struct {
+	Workspace string
+	Tokens    float64
+	// Demand is that of the fleet in requests per second.
+	Demand float64
+	// RetryAfter is the time until a token is minted, if not all were granted.
+	RetryAfter time.Duration
+}
+
+// Verdict is the decision about one request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Admitted requests have taken a token.
+	Admitted Verdict = iota
+	// Short requests find no token here, but the pool may have one.
+	Short
+	// Refused requests exceed the quota.
+	Refused
+)
+
+// Limiter admits requests of workspaces at one node. It is not safe for
+// concurrent use.
+type Limiter struct {
+	tolerance Tolerance
+	nodes     int
+	// heardAt is when a collector last answered.
+	heardAt time.Time
+	lots    map[string]*lot
+}
+
+// lot holds the tokens of one workspace at this node.
+type lot struct {
+	workspace catalog.Workspace
+	tokens    float64
+	// emptyUntil is when the pool is expected to have a token again.
+	emptyUntil time.Time
+	// fleet is the demand of all nodes together.
+	fleet    float64
+	mintedAt time.Time
+
+	demand   float64
+	demandAt time.Time
+}
+
+// NewLimiter returns a limiter for a node of a fleet of unknown size.
+func NewLimiter(now time.Time, tolerance Tolerance) *Limiter {
+	return &Limiter{tolerance: tolerance, nodes: 1, heardAt: now, lots: make(map[string]*lot)}
+}
+
+// Configure takes the published workspaces and the number of nodes. A lot of a
+// workspace whose rate fell is dropped, since it was sized to the higher one.
+func (l *Limiter) Configure(now time.Time, workspaces []catalog.Workspace, nodes int) {
+	l.nodes = max(nodes, 1)
+	next := make(map[string]*lot, len(workspaces))
+	for i := range workspaces {
+		w := &workspaces[i]
+		held := l.lots[w.Name]
+		if held == nil {
+			held = &lot{demandAt: now, mintedAt: now}
+		} else if w.Rate < held.workspace.Rate {
+			held.tokens = 0
+		}
+		held.workspace = *w
+		next[w.Name] = held
+	}
+	l.lots = next
+}
+
+// Take counts a request of the workspace and decides about it. If it is refused,
+// retryAfter is the time until a token is expected.
+func (l *Limiter) Take(now time.Time, workspace string) (v Verdict, retryAfter time.Duration) {
+	held := l.lots[workspace]
+	if held == nil || !held.workspace.Limited() {
+		return Admitted, 0
+	}
+	held.count(now)
+	if l.alone(now) {
+		held.mint(now, l.nodes)
+	}
+	if held.tokens >= 1 {
+		held.tokens--
+		return Admitted, 0
+	}
+	if wait := held.emptyUntil.Sub(now); wait > 0 {
+		return Refused, min(wait, maxRetryAfter)
+	}
+	return Short, 0
+}
+
+// Claim takes a token for a request that was Short, after a grant. It returns
+// false if there is none.
+func (l *Limiter) Claim(workspace string) bool {
+	held := l.lots[workspace]
+	if held == nil || !held.workspace.Limited() {
+		return true
+	}
+	if held.tokens < 1 {
+		return false
+	}
+	held.tokens--
+	return true
+}
+
+// RetryAfter returns the time until a token of the workspace is expected.
+func (l *Limiter) RetryAfter(now time.Time, workspace string) time.Duration {
+	held := l.lots[workspace]
+	if held == nil {
+		return 0
+	}
+	return min(max(held.emptyUntil.Sub(now), 0), maxRetryAfter)
+}
+
+// GiveBack returns what a request of the workspace took that did not run.
+func (l *Limiter) GiveBack(workspace string) {
+	if held := l.lots[workspace]; held != nil {
+		held.tokens++
+	}
+}
+
+// Draws returns what to ask of the pool so that each lot covers the demand, and
+// takes out of the lots what it gives back.
+func (l *Limiter) Draws(now time.Time) []Draw {
+	var draws []Draw
+	for name, held := range l.lots {
+		held.fade(now)
+		if !held.workspace.Limited() || (held.demand < leastDemand && held.tokens < 1) {
+			continue
+		}
+		size := 0.0
+		if held.demand >= leastDemand {
+			size = held.demand*lotTime.Seconds() + spareTokens
+		}
+		draw := Draw{Workspace: name, Held: held.tokens, Demand: held.demand}
+		switch {
+		case held.tokens > keepFactor*size:
+			draw.Wanted = size - held.tokens
+			held.tokens = size
+		case held.tokens < size && !now.Before(held.emptyUntil):
+			draw.Wanted = size - held.tokens
+		}
+		draws = append(draws, draw)
+	}
+	return draws
+}
+
+// DrawFor returns what to ask of the pool for a number of requests that wait.
+func (l *Limiter) DrawFor(now time.Time, workspace string, waiting int) Draw {
+	held := l.lots[workspace]
+	if held == nil {
+		return Draw{Workspace: workspace}
+	}
+	held.fade(now)
+	return Draw{
+		Workspace: workspace, Wanted: float64(waiting) + held.demand*lotTime.Seconds()/2,
+		Held: held.tokens, Demand: held.demand,
+	}
+}
+
+// Granted takes what the pool granted.
+func (l *Limiter) Granted(now time.Time, grants []Grant) {
+	l.heardAt = now
+	for _, g := range grants {
+		held := l.lots[g.Workspace]
+		if held == nil {
+			continue
+		}
+		held.tokens += g.Tokens
+		held.fleet = g.Demand
+		held.mintedAt = now
+		held.emptyUntil = now.Add(g.RetryAfter)
+	}
+}
+
+// alone reports whether no collector answers.
+func (l *Limiter) alone(now time.Time) bool { return now.Sub(l.heardAt) > silence }
+
+// mint adds the node's share of the rate.
+func (h *lot) mint(now time.Time, nodes int) {
+	share := 1 / float64(nodes)
+	if h.fleet > 0 {
+		share = min(h.demand/h.fleet, 1)
+	}
+	passed := max(now.Sub(h.mintedAt), 0)
+	h.mintedAt = now
+	h.tokens = min(h.tokens+share*h.workspace.Rate*passed.Seconds(), max(1, share*h.workspace.Burst))
+}
+
+func (h *lot) fade(now time.Time) {
+	passed := now.Sub(h.demandAt)
+	if passed <= 0 {
+		return
+	}
+	h.demand *= math.Exp(-float64(passed) / float64(demandTime))
+	h.demandAt = now
+}
+
+func (h *lot) count(now time.Time) {
+	h.fade(now)
+	h.demand += 1 / demandTime.Seconds()
+}
+
+// Status describes the quota of one workspace at a node, for a log line.
+type Status struct {
+	// Rate is the quota of the fleet in requests per second.
+	Rate float64
+	// Tokens is the lot of this node.
+	Tokens float64
+	// Demand and Fleet are the demands at this node and at all nodes, in
+	// requests per second.
+	Demand, Fleet float64
+	// Age is the time since a collector answered.
+	Age time.Duration
+}
+
+// Status returns what decides about requests of the workspace.
+func (l *Limiter) Status(now time.Time, workspace string) Status {
+	held := l.lots[workspace]
+	if held == nil {
+		return Status{}
+	}
+	held.fade(now)
+	return Status{
+		Rate: held.workspace.Rate, Tokens: held.tokens, Demand: held.demand, Fleet: held.fleet, Age: now.Sub(l.heardAt),
+	}
+}
--- /dev/null
+++ b/core/usage/pool.go
@@ -0,0 +1,144 @@
+package usage
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+)
+
+const (
+	// reportLife is the age at which what a node reported counts as lost.
+	reportLife = 2 * time.Second
+	// firstFill is the part of the depth that a new pool begins with: an earlier
+	// one may just have spent the rest.
+	firstFill = 0.5
+	// leastRetryAfter bounds how soon a node asks an empty pool again.
+	leastRetryAfter = 60 * time.Millisecond
+)
+
+// Pool mints the tokens of all workspaces at the collector. It is not safe for
+// concurrent use.
+type Pool struct {
+	tolerance  Tolerance
+	workspaces map[string]*minting
+}
+
+// minting is the state of one workspace.
+type minting struct {
+	workspace catalog.Workspace
+	tokens    float64
+	at        time.Time
+	reports   map[string]report
+}
+
+// report is what a node last said.
+type report struct {
+	at     time.Time
+	held   float64
+	demand float64
+}
+
+// NewPool returns a pool that knows no workspace.
+func NewPool(tolerance Tolerance) *Pool {
+	return &Pool{tolerance: tolerance, workspaces: make(map[string]*minting)}
+}
+
+// Configure takes the published workspaces.
+func (p *Pool) Configure(now time.Time, workspaces []catalog.Workspace) {
+	next := make(map[string]*minting, len(workspaces))
+	for i := range workspaces {
+		w := &workspaces[i]
+		m := p.workspaces[w.Name]
+		if m == nil {
+			m = &minting{at: now, reports: make(map[string]report), tokens: firstFill * p.tolerance.depth(w)}
+		}
+		m.refill(now, p.tolerance)
+		m.workspace = *w
+		m.tokens = min(m.tokens, p.tolerance.depth(w))
+		next[w.Name] = m
+	}
+	p.workspaces = next
+}
+
+// Draw answers what a node asks.
+func (p *Pool) Draw(now time.Time, node string, draws []Draw) []Grant {
+	grants := make([]Grant, 0, len(draws))
+	for _, d := range draws {
+		m := p.workspaces[d.Workspace]
+		if m == nil {
+			continue // a newer configuration there; the node mints for itself
+		}
+		grants = append(grants, m.draw(now, node, d, p.tolerance))
+	}
+	return grants
+}
+
+func (m *minting) draw(now time.Time, node string, d Draw, t Tolerance) Grant {
+	m.refill(now, t)
+	grant := Grant{Workspace: d.Workspace}
+	if d.Wanted < 0 {
+		m.tokens -= d.Wanted
+	} else {
+		grant.Tokens = min(d.Wanted, max(m.tokens, 0))
+		m.tokens -= grant.Tokens
+	}
+	if grant.Tokens+d.Held < 1 && d.Wanted > 0 {
+		missing := 1 - m.tokens
+		wait := time.Duration(missing / t.rate(&m.workspace) * float64(time.Second))
+		grant.RetryAfter = max(wait, leastRetryAfter)
+	}
+	m.reports[node] = report{at: now, held: d.Held + grant.Tokens + min(d.Wanted, 0), demand: d.Demand}
+	grant.Demand = m.demand()
+	return grant
+}
+
+// refill mints what is due. Tokens that nodes hold count against the depth.
+func (m *minting) refill(now time.Time, t Tolerance) {
+	passed := max(now.Sub(m.at), 0)
+	m.at = now
+	if !m.workspace.Limited() {
+		return
+	}
+	most := max(t.depth(&m.workspace)-m.held(now), 0)
+	m.tokens = max(min(m.tokens+t.rate(&m.workspace)*passed.Seconds(), most), min(m.tokens, 0))
+}
+
+func (m *minting) held(now time.Time) float64 {
+	sum := 0.0
+	for node, r := range m.reports {
+		if now.Sub(r.at) > reportLife {
+			delete(m.reports, node)
+			continue
+		}
+		sum += max(r.held, 0)
+	}
+	return sum
+}
+
+func (m *minting) demand() float64 {
+	sum := 0.0
+	for _, r := range m.reports {
+		sum += r.demand
+	}
+	return sum
+}
+
+// CollectorOf chooses the instance whose node collects: the first in the order of
+// their hashes that was not found silent. It returns false if there is none.
+func CollectorOf(ids []member.InstanceID, silent func(member.InstanceID) bool) (member.InstanceID, bool) {
+	var best member.InstanceID
+	var bestHash uint64
+	found := false
+	for _, id := range ids {
+		if silent(id) {
+			continue
+		}
+		if hash := xxhash.Sum64String(string(id)); !found || hash < bestHash {
+			best, bestHash, found = id, hash, true
+		}
+	}
+	return best, found
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -109,10 +109,8 @@
 	n.routes = newRoutes(cfg.Zone, cfg.Upstream, cfg.Retries)
 	report.learn = n.routes.learn
 	n.gates = newGates(n.routes)
-	n.quota = &quota{
-		node: cfg.Node, state: n.follower.State, clients: clients, controlAddress: controlOf, log: cfg.Log,
-		limiter: usage.NewLimiter(cfg.Quota), collector: usage.NewCollector(), silent: make(map[member.InstanceID]time.Time),
-	}
+	n.quota = newQuota(cfg.Node, cfg.Quota)
+	n.quota.state, n.quota.clients, n.quota.controlAddress, n.quota.log = n.follower.State, clients, controlOf, cfg.Log
 	n.peers = newPeers(cfg.Headers, peerAddress.Port(), seen)
 	n.guard = newGuard(guardConfig{
 		headers: cfg.Headers, address: cfg.Upstream, state: n.follower.State, leaving: &n.announced, closed: &n.guardClosed,
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -149,9 +149,9 @@
 	quota *quota
 }
 
-// ReportDemand implements the twirp service.
-func (s *controlService) ReportDemand(_ context.Context, in *meshpb.DemandReport) (*meshpb.DemandTotal, error) {
-	return s.quota.collect(in), nil
+// DrawTokens implements the twirp service.
+func (s *controlService) DrawTokens(_ context.Context, in *meshpb.DrawRequest) (*meshpb.DrawReply, error) {
+	return s.quota.answer(in), nil
 }
 
 // Published implements the twirp service.
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -15,11 +15,13 @@
 )
 
 const (
-	// reportInterval is the time between reports of demand. A shift of demand
-	// between nodes is answered after it.
-	reportInterval = 500 * time.Millisecond
+	// drawInterval is the time between draws of lots.
+	drawInterval = 250 * time.Millisecond
+	// askTimeout bounds the wait of a request for a token. A collector answers
+	// within a few milliseconds.
+	askTimeout = 60 * time.Millisecond
 	// silentFor is how long a collector that did not answer is passed over.
-	silentFor = 5 * time.Second
+	silentFor = 3 * time.Second
 )
 
 // quota holds workspaces to their quota together with the other nodes. It is
@@ -33,17 +35,66 @@
 	controlAddress func(catalog.Instance) string
 	log            logr.Logger
 
-	mu        sync.Mutex
-	limiter   *usage.Limiter
-	collector *usage.Collector
-	silent    map[member.InstanceID]time.Time
+	mu      sync.Mutex
+	limiter *usage.Limiter
+	pool    *usage.Pool
+	silent  map[member.InstanceID]time.Time
+	asks    map[string]*ask
 }
 
-// take counts a request of a workspace and reports whether it is admitted.
-func (q *quota) take(now time.Time, workspace string) (ok bool, retryAfter time.Duration) {
+// ask is a question for tokens of one workspace that is under way.
+type ask struct {
+	waiting int
+	done    chan struct{}
+}
+
+func newQuota(node string, tolerance usage.Tolerance) *quota {
+	return &quota{
+		node: node, limiter: usage.NewLimiter(time.Now(), tolerance), pool: usage.NewPool(tolerance),
+		silent: make(map[member.InstanceID]time.Time), asks: make(map[string]*ask),
+	}
+}
+
+// take counts a request of a workspace and reports whether it is admitted. It
+// may wait for an answer of the collector.
+func (q *quota) take(ctx context.Context, workspace string) (ok bool, retryAfter time.Duration) {
+	q.mu.Lock()
+	verdict, retryAfter := q.limiter.Take(time.Now(), workspace)
+	if verdict != usage.Short {
+		q.mu.Unlock()
+		return verdict == usage.Admitted, retryAfter
+	}
+	pending := q.joinAsk(ctx, workspace)
+	q.mu.Unlock()
+	<-pending.done
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.limiter.Take(now, workspace)
+	if q.limiter.Claim(workspace) {
+		return true, 0
+	}
+	return false, q.limiter.RetryAfter(time.Now(), workspace)
+}
+
+// joinAsk returns the question for the workspace that is under way, or begins
+// one. The lock must be held.
+func (q *quota) joinAsk(ctx context.Context, workspace string) *ask {
+	if pending := q.asks[workspace]; pending != nil {
+		pending.waiting++
+		return pending
+	}
+	pending := &ask{waiting: 1, done: make(chan struct{})}
+	q.asks[workspace] = pending
+	draw := q.limiter.DrawFor(time.Now(), workspace, pending.waiting)
+	go func() {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+		defer cancel()
+		q.draw(bounded, []usage.Draw{draw})
+		q.mu.Lock()
+		delete(q.asks, workspace)
+		q.mu.Unlock()
+		close(pending.done)
+	}()
+	return pending
 }
 
 // giveBack returns what a request took that did not run.
@@ -53,6 +104,13 @@
 	q.limiter.GiveBack(workspace)
 }
 
+// status returns what decides about requests of a workspace.
+func (q *quota) status(now time.Time, workspace string) usage.Status {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.limiter.Status(now, workspace)
+}
+
 // stateChanged takes the published quotas and the size of the fleet.
 func (q *quota) stateChanged(now time.Time, state *follow.State) {
 	if state.Catalog == nil {
@@ -65,51 +123,70 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.limiter.Configure(now, state.Catalog.Workspaces(), nodes)
+	q.pool.Configure(now, state.Catalog.Workspaces())
 }
 
-// run reports demand until ctx ends.
+// run draws lots until ctx ends.
 func (q *quota) run(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
+	ticker := time.NewTicker(drawInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			q.report(ctx, now)
+			q.mu.Lock()
+			draws := q.limiter.Draws(now)
+			q.mu.Unlock()
+			if len(draws) == 0 {
+				continue
+			}
+			bounded, cancel := context.WithTimeout(ctx, controlTimeout)
+			q.draw(bounded, draws)
+			cancel()
 		}
 	}
 }
 
-func (q *quota) report(ctx context.Context, now time.Time) {
-	state := q.state()
-	if state.Directory == nil {
-		return
-	}
-	collector, address, ok := q.collectorOf(now, state.Directory)
+// draw asks the collector and takes what it grants.
+func (q *quota) draw(ctx context.Context, draws []usage.Draw) {
+	now := time.Now()
+	collector, address, ok := q.collectorOf(now)
 	if !ok {
 		return
 	}
-	q.mu.Lock()
-	demands := q.limiter.Demands(now)
-	q.mu.Unlock()
-	message := &meshpb.DemandReport{Node: q.node, Demand: demandMessages(demands)}
+	message := &meshpb.DrawRequest{Node: q.node, Draws: drawMessages(draws)}
+	answer := &meshpb.DrawReply{}
 	if address == "" {
-		q.setTotal(q.collect(message))
-		return
+		answer = q.answer(message)
+	} else {
+		var err error
+		if answer, err = q.clients.client(address).DrawTokens(ctx, message); err != nil {
+			q.lost(now, collector, err)
+			return
+		}
 	}
-	answer, err := q.clients.client(address).ReportDemand(ctx, message)
-	if err != nil {
-		q.log.Info("collector of demand lost", "collector", collector, "reason", err.Error())
-		q.silent[collector] = now
-		return
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.limiter.Granted(time.Now(), grantsFrom(answer.Grants))
+}
+
+func (q *quota) lost(now time.Time, collector member.InstanceID, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now.Sub(q.silent[collector]) > silentFor {
+		q.log.Info("collector of quota lost", "collector", collector, "reason", err.Error())
 	}
-	q.setTotal(answer)
+	q.silent[collector] = now
 }
 
 // collectorOf chooses the collector and returns its control address, empty for
 // the own node.
-func (q *quota) collectorOf(now time.Time, directory *catalog.Directory) (member.InstanceID, string, bool) {
+func (q *quota) collectorOf(now time.Time) (member.InstanceID, string, bool) {
+	directory := q.state().Directory
+	if directory == nil {
+		return "", "", false
+	}
 	byID := make(map[member.InstanceID]catalog.Instance)
 	var ids []member.InstanceID
 	for _, instance := range directory.Instances() {
@@ -118,6 +195,8 @@
 			ids = append(ids, instance.ID)
 		}
 	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	collector, ok := usage.CollectorOf(ids, func(id member.InstanceID) bool {
 		at, failed := q.silent[id]
 		return failed && now.Sub(at) < silentFor
@@ -128,31 +207,51 @@
 	return collector, q.controlAddress(byID[collector]), true
 }
 
-func (q *quota) collect(in *meshpb.DemandReport) *meshpb.DemandTotal {
+// answer serves a draw as collector.
+func (q *quota) answer(in *meshpb.DrawRequest) *meshpb.DrawReply {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	total := q.collector.Report(time.Now(), in.Node, demandsFrom(in.Demand))
-	return &meshpb.DemandTotal{Nodes: uint32(total.Nodes), Demand: demandMessages(total.Demand)}
+	return &meshpb.DrawReply{Grants: grantMessages(q.pool.Draw(time.Now(), in.Node, drawsFrom(in.Draws)))}
 }
 
-func (q *quota) setTotal(answer *meshpb.DemandTotal) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.limiter.SetTotal(time.Now(), usage.Total{Nodes: int(answer.Nodes), Demand: demandsFrom(answer.Demand)})
+func drawMessages(draws []usage.Draw) []*meshpb.Draw {
+	list := make([]*meshpb.Draw, 0, len(draws))
+	for _, d := range draws {
+		list = append(list, &meshpb.Draw{
+			Workspace: d.Workspace, Wanted: float32(d.Wanted), Held: float32(d.Held), Demand: float32(d.Demand),
+		})
+	}
+	return list
+}
+
+func drawsFrom(messages []*meshpb.Draw) []usage.Draw {
+	list := make([]usage.Draw, 0, len(messages))
+	for _, m := range messages {
+		list = append(list, usage.Draw{
+			Workspace: m.Workspace, Wanted: float64(m.Wanted), Held: float64(m.Held), Demand: float64(m.Demand),
+		})
+	}
+	return list
 }
 
-func demandMessages(demands []usage.Demand) []*meshpb.Demand {
-	list := make([]*meshpb.Demand, 0, len(demands))
-	for _, d := range demands {
-		list = append(list, &meshpb.Demand{Workspace: d.Workspace, PerSecond: float32(d.PerSecond)})
+func grantMessages(grants []usage.Grant) []*meshpb.Grant {
+	list := make([]*meshpb.Grant, 0, len(grants))
+	for _, g := range grants {
+		list = append(list, &meshpb.Grant{
+			Workspace: g.Workspace, Tokens: float32(g.Tokens), Demand: float32(g.Demand),
+			RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
+		})
 	}
 	return list
 }
 
-func demandsFrom(messages []*meshpb.Demand) []usage.Demand {
-	list := make([]usage.Demand, 0, len(messages))
+func grantsFrom(messages []*meshpb.Grant) []usage.Grant {
+	list := make([]usage.Grant, 0, len(messages))
 	for _, m := range messages {
-		list = append(list, usage.Demand{Workspace: m.Workspace, PerSecond: float64(m.PerSecond)})
+		list = append(list, usage.Grant{
+			Workspace: m.Workspace, Tokens: float64(m.Tokens), Demand: float64(m.Demand),
+			RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+		})
 	}
 	return list
 }
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -108,6 +108,12 @@
 			"share", fmt.Sprintf("%.3f", gate.share), "pressure", fmt.Sprintf("%.2f", gate.pressure),
 			"pressureAge", gate.age.Round(time.Millisecond).String())
 	}
+	if answer.reason == reasonQuota {
+		quota := e.cfg.quota.status(now, r.workspace.Name)
+		values = append(values, "quotaRate", quota.Rate, "tokens", fmt.Sprintf("%.1f", quota.Tokens),
+			"demand", fmt.Sprintf("%.1f", quota.Demand), "fleetDemand", fmt.Sprintf("%.1f", quota.Fleet),
+			"quotaAge", quota.Age.Round(time.Millisecond).String())
+	}
 	if answer.retryAfter > 0 {
 		values = append(values, "retryAfter", answer.retryAfter.Round(time.Millisecond).String())
 	}
