--- a/core/usage/limiter.go
+++ b/core/usage/limiter.go
@@ -12,8 +12,9 @@
 	demandTime = time.Second
 	// lotTime is the demand that a lot covers. Nodes draw more often.
 	lotTime = 400 * time.Millisecond
-	// spareTokens is what a lot holds besides.
-	spareTokens = 0.5
+	// leastLot is the size below which a node keeps no lot and asks for each
+	// request: parts of tokens in many nodes are of no use to any.
+	leastLot = 1
 	// keepFactor is how many times its size a lot may hold before a part is
 	// given back.
 	keepFactor = 2
@@ -169,9 +170,9 @@
 		if !held.workspace.Limited() || (held.demand < leastDemand && held.tokens < 1) {
 			continue
 		}
-		size := 0.0
-		if held.demand >= leastDemand {
-			size = held.demand*lotTime.Seconds() + spareTokens
+		size := held.demand * lotTime.Seconds()
+		if size < leastLot {
+			size = 0
 		}
 		draw := Draw{Workspace: name, Held: held.tokens, Demand: held.demand}
 		switch {
@@ -194,7 +195,7 @@
 	}
 	held.fade(now)
 	return Draw{
-		Workspace: workspace, Wanted: float64(waiting) + held.demand*lotTime.Seconds()/2,
+		Workspace: workspace, Wanted: float64(waiting) - held.tokens,
 		Held: held.tokens, Demand: held.demand,
 	}
 }
--- a/core/usage/pool.go
+++ b/core/usage/pool.go
@@ -85,7 +85,7 @@
 		grant.Tokens = min(d.Wanted, max(m.tokens, 0))
 		m.tokens -= grant.Tokens
 	}
-	if grant.Tokens+d.Held < 1 && d.Wanted > 0 {
+	if grant.Tokens < d.Wanted && grant.Tokens+d.Held < 1 {
 		missing := 1 - m.tokens
 		wait := time.Duration(missing / t.rate(&m.workspace) * float64(time.Second))
 		grant.RetryAfter = max(wait, leastRetryAfter)
--- /dev/null
+++ b/core/usage/usage_test.go
@@ -0,0 +1,191 @@
+package usage
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/toucancove/toucancove/core/catalog"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// tolerance is that of the users' platform.
+var tolerance = Tolerance{Window: 5 * time.Second, Ratio: 0.25, Requests: 20}
+
+// fleet is a number of nodes that draw from one pool in virtual time.
+type fleet struct {
+	pool      *Pool
+	limiters  []*Limiter
+	drawnAt   []time.Time
+	connected bool
+	admitted  []time.Time
+}
+
+func newFleet(nodes int, w catalog.Workspace) *fleet {
+	f := &fleet{pool: NewPool(tolerance), drawnAt: make([]time.Time, nodes), connected: true}
+	f.pool.Configure(start, []catalog.Workspace{w})
+	for range nodes {
+		l := NewLimiter(start, tolerance)
+		l.Configure(start, []catalog.Workspace{w}, nodes)
+		f.limiters = append(f.limiters, l)
+	}
+	return f
+}
+
+// request offers one request and draws as a node does.
+func (f *fleet) request(now time.Time, node int, workspace string) bool {
+	l := f.limiters[node]
+	if now.Sub(f.drawnAt[node]) > 250*time.Millisecond {
+		f.drawnAt[node] = now
+		f.draw(now, node, l.Draws(now))
+	}
+	verdict, _ := l.Take(now, workspace)
+	ok := verdict == Admitted
+	if verdict == Short && f.connected {
+		f.draw(now, node, []Draw{l.DrawFor(now, workspace, 1)})
+		ok = l.Claim(workspace)
+	}
+	if ok {
+		f.admitted = append(f.admitted, now)
+	}
+	return ok
+}
+
+func (f *fleet) draw(now time.Time, node int, draws []Draw) {
+	if f.connected {
+		f.limiters[node].Granted(now, f.pool.Draw(now, fmt.Sprint(node), draws))
+	}
+}
+
+// worstWindow returns the largest number admitted in any window.
+func (f *fleet) worstWindow(length time.Duration) int {
+	worst, first := 0, 0
+	for i, at := range f.admitted {
+		for at.Sub(f.admitted[first]) > length {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	return worst
+}
+
+// bucket is the exact quota: the requests that must not be refused.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+func (b *bucket) owed(now time.Time, w catalog.Workspace) bool {
+	b.tokens = min(w.Burst, b.tokens+w.Rate*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// A workspace sends about its rate, unevenly over 18 nodes, as on a busy day.
+func TestDemandNearTheRateIsNotRefused(t *testing.T) {
+	for _, rate := range []float64{5, 30, 200} {
+		for _, load := range []float64{0.6, 0.95, 1.1} {
+			w := catalog.Workspace{Name: "w", Rate: rate, Burst: rate}
+			random := rand.New(rand.NewPCG(uint64(rate), uint64(100*load)))
+			f := newFleet(18, w)
+			exact := bucket{tokens: w.Burst, at: start}
+			owed, refused := 0, 0
+			for now := start; now.Sub(start) < time.Minute; {
+				now = now.Add(time.Duration(random.ExpFloat64() / (rate * load) * float64(time.Second)))
+				node := int(math.Pow(random.Float64(), 2) * 18)
+				ok := f.request(now, node, "w")
+				if now.Sub(start) > 2*time.Second && exact.owed(now, w) {
+					owed++
+					if !ok {
+						refused++
+					}
+				}
+			}
+			if share := float64(refused) / float64(owed); share > 0.005 {
+				t.Errorf("rate %v at %v: %.4f of %d requests inside the quota refused, want at most 0.005", rate, load, share, owed)
+			}
+		}
+	}
+}
+
+func TestHotWorkspaceStaysWithinTheTolerance(t *testing.T) {
+	for _, rate := range []float64{5, 30, 200} {
+		w := catalog.Workspace{Name: "w", Rate: rate, Burst: rate}
+		random := rand.New(rand.NewPCG(uint64(rate), 7))
+		f := newFleet(18, w)
+		for now := start; now.Sub(start) < 30*time.Second; {
+			load := 0.6
+			if s := now.Sub(start).Seconds(); s > 8 && s < 20 {
+				load = 8
+			}
+			now = now.Add(time.Duration(random.ExpFloat64() / (rate * load) * float64(time.Second)))
+			f.request(now, random.IntN(18), "w")
+		}
+		most := (rate*5+rate)*1.25 + 20
+		if worst := float64(f.worstWindow(tolerance.Window)); worst > most {
+			t.Errorf("rate %v: %v admitted in 5 s, want at most %v", rate, worst, most)
+		}
+	}
+}
+
+// The collector is lost while the workspace sends eight times its rate; a new one
+// takes over two seconds later.
+func TestLostCollectorKeepsTheTolerance(t *testing.T) {
+	const rate = 50
+	w := catalog.Workspace{Name: "w", Rate: rate, Burst: rate}
+	random := rand.New(rand.NewPCG(3, 3))
+	f := newFleet(18, w)
+	alone := 0
+	for now := start; now.Sub(start) < 30*time.Second; {
+		now = now.Add(time.Duration(random.ExpFloat64() / (rate * 8) * float64(time.Second)))
+		passed := now.Sub(start)
+		wasConnected := f.connected
+		f.connected = passed < 10*time.Second || passed > 12*time.Second
+		if f.connected && !wasConnected {
+			f.pool = NewPool(tolerance)
+			f.pool.Configure(now, []catalog.Workspace{w})
+		}
+		if f.request(now, random.IntN(18), "w") && !f.connected {
+			alone++
+		}
+	}
+	if most := (rate*5.0+rate)*1.25 + 20; float64(f.worstWindow(tolerance.Window)) > most {
+		t.Errorf("%v admitted in 5 s, want at most %v", f.worstWindow(tolerance.Window), most)
+	}
+	if alone < rate/2 {
+		t.Errorf("%d requests admitted in 2 s without a collector, want at least %d", alone, rate/2)
+	}
+}
+
+func TestUnusedTokensComeBack(t *testing.T) {
+	w := catalog.Workspace{Name: "w", Rate: 100, Burst: 100}
+	f := newFleet(2, w)
+	for i := range 100 {
+		f.request(start.Add(time.Duration(i)*10*time.Millisecond), 0, "w")
+	}
+	now := start.Add(10 * time.Second)
+	draws := f.limiters[0].Draws(now)
+	f.draw(now, 0, draws)
+	if held := f.limiters[0].Status(now, "w").Tokens; held > 1 {
+		t.Errorf("an idle node still holds %.1f tokens", held)
+	}
+}
+
+func TestLowerRateDropsTheLot(t *testing.T) {
+	w := catalog.Workspace{Name: "w", Rate: 1000, Burst: 1000}
+	f := newFleet(1, w)
+	f.request(start, 0, "w")
+	lower := w
+	lower.Rate, lower.Burst = 1, 1
+	f.limiters[0].Configure(start, []catalog.Workspace{lower}, 1)
+	if held := f.limiters[0].Status(start, "w").Tokens; held > 0 {
+		t.Errorf("%.1f tokens of the higher rate are kept", held)
+	}
+}
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -20,6 +20,9 @@
 	// askTimeout bounds the wait of a request for a token. A collector answers
 	// within a few milliseconds.
 	askTimeout = 60 * time.Millisecond
+	// maxAsks bounds the questions that one request waits for: it may join one
+	// that was sent before it came.
+	maxAsks = 3
 	// silentFor is how long a collector that did not answer is passed over.
 	silentFor = 3 * time.Second
 )
@@ -40,18 +43,20 @@
 	pool    *usage.Pool
 	silent  map[member.InstanceID]time.Time
 	asks    map[string]*ask
+	// joined counts the requests that came after a question of their
+	// workspace was sent; the next one asks for them too.
+	joined map[string]int
 }
 
 // ask is a question for tokens of one workspace that is under way.
 type ask struct {
-	waiting int
-	done    chan struct{}
+	done chan struct{}
 }
 
 func newQuota(node string, tolerance usage.Tolerance) *quota {
 	return &quota{
 		node: node, limiter: usage.NewLimiter(time.Now(), tolerance), pool: usage.NewPool(tolerance),
-		silent: make(map[member.InstanceID]time.Time), asks: make(map[string]*ask),
+		silent: make(map[member.InstanceID]time.Time), asks: make(map[string]*ask), joined: make(map[string]int),
 	}
 }
 
@@ -64,27 +69,33 @@
 		q.mu.Unlock()
 		return verdict == usage.Admitted, retryAfter
 	}
-	pending := q.joinAsk(ctx, workspace)
-	q.mu.Unlock()
-	<-pending.done
-	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.limiter.Claim(workspace) {
-		return true, 0
+	for range maxAsks {
+		pending := q.joinAsk(ctx, workspace)
+		q.mu.Unlock()
+		<-pending.done
+		q.mu.Lock()
+		if q.limiter.Claim(workspace) {
+			return true, 0
+		}
+		if retryAfter = q.limiter.RetryAfter(time.Now(), workspace); retryAfter > 0 {
+			break
+		}
 	}
-	return false, q.limiter.RetryAfter(time.Now(), workspace)
+	return false, max(retryAfter, askTimeout)
 }
 
 // joinAsk returns the question for the workspace that is under way, or begins
 // one. The lock must be held.
 func (q *quota) joinAsk(ctx context.Context, workspace string) *ask {
 	if pending := q.asks[workspace]; pending != nil {
-		pending.waiting++
+		q.joined[workspace]++
 		return pending
 	}
-	pending := &ask{waiting: 1, done: make(chan struct{})}
+	pending := &ask{done: make(chan struct{})}
 	q.asks[workspace] = pending
-	draw := q.limiter.DrawFor(time.Now(), workspace, pending.waiting)
+	draw := q.limiter.DrawFor(time.Now(), workspace, 1+q.joined[workspace])
+	delete(q.joined, workspace)
 	go func() {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 		defer cancel()
