--- /dev/null
+++ b/follow/follower_test.go
@@ -0,0 +1,221 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+)
+
+// fakeStore answers reads from memory.
+type fakeStore struct {
+	reads   chan readAnswer
+	watches chan watchAnswer
+}
+
+type readAnswer struct {
+	snapshot Snapshot
+	err      error
+}
+
+type watchAnswer struct {
+	changes Changes
+	err     error
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{reads: make(chan readAnswer, 10), watches: make(chan watchAnswer, 10)}
+}
+
+func (s *fakeStore) Read(ctx context.Context) (Snapshot, error) {
+	select {
+	case a := <-s.reads:
+		return a.snapshot, a.err
+	case <-ctx.Done():
+		return Snapshot{}, ErrUnavailable
+	}
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) (Changes, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case a := <-s.watches:
+		return a.changes, a.err
+	case <-timer.C:
+		return Changes{Revision: after}, nil
+	case <-ctx.Done():
+		return Changes{}, ErrUnavailable
+	}
+}
+
+func (s *fakeStore) Decode(raw []byte) (catalog.Definition, error) {
+	var d catalog.Definition
+	err := json.Unmarshal(raw, &d)
+	return d, err
+}
+
+// fakePeer knows what it is told.
+type fakePeer struct {
+	asked  []string
+	answer Snapshot
+	err    error
+}
+
+func (p *fakePeer) Published(_ context.Context, address string, _ catalog.Version, _ catalog.Revision) (Snapshot, error) {
+	p.asked = append(p.asked, address)
+	return p.answer, p.err
+}
+
+func configuration(t *testing.T, version catalog.Version) []byte {
+	t.Helper()
+	raw, err := json.Marshal(catalog.Definition{Version: version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func listed(ids ...string) []catalog.Instance {
+	var list []catalog.Instance
+	for _, id := range ids {
+		list = append(list, catalog.Instance{ID: member.InstanceID(id), Service: "desk", Address: id})
+	}
+	return list
+}
+
+// started runs a follower in the bubble of a test.
+func started(t *testing.T, store *fakeStore, peer *fakePeer) *Follower {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	f := New(Config{
+		Store: store, Peer: peer, Seeds: []string{"seed"}, OnChange: func(*State) {}, Log: logr.Discard(),
+		ControlAddress: func(i catalog.Instance) string { return i.Address },
+	})
+	f.Start(ctx)
+	t.Cleanup(func() { cancel(); f.Wait() })
+	return f
+}
+
+func TestVersionsAndRevisionsOnlyRise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		f := started(t, store, &fakePeer{err: errors.New("silent")})
+		store.reads <- readAnswer{snapshot: Snapshot{Revision: 10, Configuration: configuration(t, 5), Instances: listed("a")}}
+		synctest.Wait()
+		if got := f.State(); got.Version() != 5 || got.Revision() != 10 {
+			t.Fatalf("version %d revision %d, want 5 and 10", got.Version(), got.Revision())
+		}
+		store.watches <- watchAnswer{changes: Changes{Revision: 12, Configuration: configuration(t, 4)}}
+		synctest.Wait()
+		if got := f.State().Version(); got != 5 {
+			t.Errorf("version %d after an older one was read, want 5", got)
+		}
+		store.watches <- watchAnswer{err: ErrHistoryLost}
+		store.reads <- readAnswer{snapshot: Snapshot{Revision: 7, Configuration: configuration(t, 3)}}
+		synctest.Wait()
+		if got := f.State(); got.Version() != 5 || got.Revision() != 12 || got.Directory.Len() != 1 {
+			t.Errorf("version %d revision %d with %d instances, want 5, 12 and 1", got.Version(), got.Revision(), got.Directory.Len())
+		}
+	})
+}
+
+func TestInvalidConfigurationLeavesTheLastOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		f := started(t, store, &fakePeer{})
+		store.reads <- readAnswer{snapshot: Snapshot{Revision: 1, Configuration: configuration(t, 5)}}
+		store.watches <- watchAnswer{changes: Changes{Revision: 2, Configuration: []byte(`{"Version":6,"Routes":[{"Prefix":"bare"}]}`)}}
+		store.watches <- watchAnswer{changes: Changes{Revision: 3, Configuration: []byte(`{"Version":`)}}
+		synctest.Wait()
+		if got := f.State().Version(); got != 5 {
+			t.Errorf("version %d, want 5", got)
+		}
+	})
+}
+
+// A node that the store turns away learns of changes from its peers.
+func TestPeersAreAskedWhileTheStoreIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		peer := &fakePeer{answer: Snapshot{Revision: 20, Configuration: configuration(t, 7), Instances: listed("a", "b")}}
+		f := started(t, store, peer)
+		store.reads <- readAnswer{err: ErrThrottled}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if got := f.State(); got.Version() != 7 || got.Directory == nil || got.Directory.Len() != 2 {
+			t.Errorf("version %d from peers %v, want 7 with two instances", got.Version(), peer.asked)
+		}
+		if peer.asked[0] != "seed" {
+			t.Errorf("asked %s first, want the seed", peer.asked[0])
+		}
+	})
+}
+
+// A watch that hears nothing is no proof that nothing changed: what peers show on
+// the data path is.
+func TestNewerValuesOnTheDataPathAreFetched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		peer := &fakePeer{answer: Snapshot{Configuration: configuration(t, 8)}}
+		f := started(t, store, peer)
+		store.reads <- readAnswer{snapshot: Snapshot{Revision: 1, Configuration: configuration(t, 5)}}
+		synctest.Wait()
+		f.Seen("peer", 5, 1)
+		synctest.Wait()
+		if len(peer.asked) != 0 {
+			t.Errorf("asked %v though nothing was newer", peer.asked)
+		}
+		f.Seen("peer", 8, 1)
+		synctest.Wait()
+		if got := f.State().Version(); got != 8 {
+			t.Errorf("version %d, want 8", got)
+		}
+	})
+}
+
+// All entries lapse while the store is down, and those of live instances are back
+// within two seconds of its return.
+func TestLapsedEntriesAroundAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		f := started(t, store, &fakePeer{err: errors.New("silent")})
+		store.reads <- readAnswer{snapshot: Snapshot{Revision: 1, Configuration: configuration(t, 5), Instances: listed("a", "b", "c")}}
+		synctest.Wait()
+		for range 3 {
+			store.watches <- watchAnswer{err: ErrUnavailable}
+		}
+		store.watches <- watchAnswer{changes: Changes{Revision: 4, Instances: []catalog.Change{
+			{ID: "a", Revision: 2}, {ID: "b", Revision: 3}, {ID: "c", Revision: 4},
+		}}}
+		time.Sleep(2 * time.Second) // the retries after the outage
+		synctest.Wait()
+		back := listed("a")[0]
+		store.watches <- watchAnswer{changes: Changes{Revision: 5, Instances: []catalog.Change{{ID: "a", Revision: 5, Instance: &back}}}}
+		time.Sleep(lapseGrace + time.Second)
+		synctest.Wait()
+		if got := f.State().Directory; got.Len() != 1 || got.Instances()[0].ID != "a" {
+			t.Errorf("instances %v, want only a", got.Instances())
+		}
+	})
+}
+
+func TestInstancesStayWhileTheirEntriesMayComeBack(t *testing.T) {
+	state := &State{Directory: catalog.NewDirectory(1, listed("a", "b", "c", "d"))}
+	now := time.Unix(1000, 0)
+	one := state.withChanges(now, 2, []catalog.Change{{ID: "a", Revision: 2}}, false)
+	if one.Directory.Len() != 3 {
+		t.Errorf("%d instances after one left, want 3", one.Directory.Len())
+	}
+	all := state.withChanges(now, 3, []catalog.Change{{ID: "a", Revision: 2}, {ID: "b", Revision: 2}}, false)
+	if all.Directory.Len() != 4 {
+		t.Errorf("%d instances after half of the service vanished at once, want all 4 for now", all.Directory.Len())
+	}
+}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -155,25 +155,29 @@
 func (l *link) acquire(ctx context.Context, o exchangeOptions) (*linkConn, error) {
 	now := time.Now()
 	for {
-		conn := l.pop()
+		conn := l.pop(now, o.once)
 		if conn == nil {
 			return l.dial(ctx, o.deadline)
 		}
-		idle := now.Sub(conn.idleAt)
-		if idle < conn.keep && (!o.once || idle < freshIdle) && isQuiet(conn.Conn) {
+		if now.Sub(conn.idleAt) < conn.keep && isQuiet(conn.Conn) {
 			return conn, nil
 		}
 		_ = conn.Close()
 	}
 }
 
-func (l *link) pop() *linkConn {
+// pop takes the connection that was used last. It leaves it for other requests
+// if it was idle for too long for one that may run only once.
+func (l *link) pop(now time.Time, once bool) *linkConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.idle) == 0 {
 		return nil
 	}
 	last := l.idle[len(l.idle)-1]
+	if once && now.Sub(last.idleAt) >= freshIdle {
+		return nil
+	}
 	l.idle = l.idle[:len(l.idle)-1]
 	return last
 }
