--- a/core/catalog/directory.go
+++ b/core/catalog/directory.go
@@ -66,6 +66,20 @@
 	return list
 }
 
+// Listed returns the instances without those whose removal is not believed yet.
+func (d *Directory) Listed() []Instance {
+	list := make([]Instance, 0, len(d.instances))
+	for id, instance := range d.instances {
+		if _, lapsed := d.lapsed[id]; !lapsed {
+			list = append(list, instance)
+		}
+	}
+	return list
+}
+
+// Holding reports whether removals are not believed yet.
+func (d *Directory) Holding() bool { return len(d.lapsed) > 0 }
+
 // With returns the list after changes, which bring it to the given revision.
 // Changes that the list already shows are passed over. With keepRemoved set,
 // removed instances stay until Expire drops them: their entries may have lapsed
--- a/core/usage/limiter.go
+++ b/core/usage/limiter.go
@@ -15,6 +15,9 @@
 	// leastLot is the size below which a node keeps no lot and asks for each
 	// request: parts of tokens in many nodes are of no use to any.
 	leastLot = 1
+	// leastCredit is what a node may spend on credit of a workspace that it had
+	// no demand for.
+	leastCredit = 1
 	// keepFactor is how many times its size a lot may hold before a part is
 	// given back.
 	keepFactor = 2
@@ -47,6 +50,8 @@
 	Demand float64
 	// RetryAfter is the time until a token is minted, if not all were granted.
 	RetryAfter time.Duration
+	// Credit lets the node spend tokens before it draws them.
+	Credit bool
 }
 
 // Verdict is the decision about one request.
@@ -76,6 +81,8 @@
 type lot struct {
 	workspace catalog.Workspace
 	tokens    float64
+	// credit is set while tokens may be spent before they are drawn.
+	credit bool
 	// emptyUntil is when the pool is expected to have a token again.
 	emptyUntil time.Time
 	// fleet is the demand of all nodes together.
@@ -121,7 +128,7 @@
 	if l.alone(now) {
 		held.mint(now, l.nodes)
 	}
-	if held.tokens >= 1 {
+	if held.tokens >= 1 || (held.credit && held.tokens > -held.most()) {
 		held.tokens--
 		return Admitted, 0
 	}
@@ -167,7 +174,7 @@
 	var draws []Draw
 	for name, held := range l.lots {
 		held.fade(now)
-		if !held.workspace.Limited() || (held.demand < leastDemand && held.tokens < 1) {
+		if !held.workspace.Limited() || (held.demand < leastDemand && held.tokens < 1 && held.tokens > -0.5) {
 			continue
 		}
 		size := held.demand * lotTime.Seconds()
@@ -212,9 +219,14 @@
 		held.fleet = g.Demand
 		held.mintedAt = now
 		held.emptyUntil = now.Add(g.RetryAfter)
+		held.credit = g.Credit
 	}
 }
 
+// most is how much may be spent on credit: the demand between two draws, with
+// room for its swings.
+func (h *lot) most() float64 { return leastCredit + 2*h.demand*lotTime.Seconds() }
+
 // alone reports whether no collector answers.
 func (l *Limiter) alone(now time.Time) bool { return now.Sub(l.heardAt) > silence }
 
--- a/core/usage/pool.go
+++ b/core/usage/pool.go
@@ -3,10 +3,7 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/toucancove/toucancove/core/catalog"
-	"github.com/toucancove/toucancove/core/member"
 )
 
 const (
@@ -15,6 +12,10 @@
 	// firstFill is the part of the depth that a new pool begins with: an earlier
 	// one may just have spent the rest.
 	firstFill = 0.5
+	// creditLevel is the part of the depth that must be in the pool for nodes to
+	// spend before they draw: it covers what they spend until they hear
+	// otherwise.
+	creditLevel = 0.5
 	// leastRetryAfter bounds how soon a node asks an empty pool again.
 	leastRetryAfter = 60 * time.Millisecond
 )
@@ -82,7 +83,8 @@
 	if d.Wanted < 0 {
 		m.tokens -= d.Wanted
 	} else {
-		grant.Tokens = min(d.Wanted, max(m.tokens, 0))
+		// What was spent on credit is owed whether the pool has it or not.
+		grant.Tokens = max(min(d.Wanted, max(m.tokens, 0)), min(-d.Held, d.Wanted))
 		m.tokens -= grant.Tokens
 	}
 	if grant.Tokens < d.Wanted && grant.Tokens+d.Held < 1 {
@@ -90,6 +92,7 @@
 		wait := time.Duration(missing / t.rate(&m.workspace) * float64(time.Second))
 		grant.RetryAfter = max(wait, leastRetryAfter)
 	}
+	grant.Credit = m.tokens > creditLevel*t.depth(&m.workspace)
 	m.reports[node] = report{at: now, held: d.Held + grant.Tokens + min(d.Wanted, 0), demand: d.Demand}
 	grant.Demand = m.demand()
 	return grant
@@ -125,20 +128,3 @@
 	}
 	return sum
 }
-
-// CollectorOf chooses the instance whose node collects: the first in the order of
-// their hashes that was not found silent. It returns false if there is none.
-func CollectorOf(ids []member.InstanceID, silent func(member.InstanceID) bool) (member.InstanceID, bool) {
-	var best member.InstanceID
-	var bestHash uint64
-	found := false
-	for _, id := range ids {
-		if silent(id) {
-			continue
-		}
-		if hash := xxhash.Sum64String(string(id)); !found || hash < bestHash {
-			best, bestHash, found = id, hash, true
-		}
-	}
-	return best, found
-}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
 )
 
 const (
@@ -30,6 +31,9 @@
 	peerInterval = 250 * time.Millisecond
 	// peerTimeout bounds one question to a peer.
 	peerTimeout = 500 * time.Millisecond
+	// seenDelay is how long a newer version on the data path is left to the own
+	// watch before a peer is asked.
+	seenDelay = 150 * time.Millisecond
 	// expireInterval is the time between looks for lapsed entries.
 	expireInterval = 200 * time.Millisecond
 	// inboxLength is the number of findings that may wait for the owner.
@@ -40,6 +44,9 @@
 type Config struct {
 	Store Store
 	Peer  Peer
+	// Zone is that of the node, Own the address of the instance beside it.
+	Zone member.Zone
+	Own  string
 	// Seeds are control addresses of nodes that may be asked before any
 	// instance is known.
 	Seeds []string
@@ -51,12 +58,20 @@
 	Log      logr.Logger
 }
 
+// sighting is what a peer showed on the data path.
+type sighting struct {
+	address  string
+	version  catalog.Version
+	revision catalog.Revision
+}
+
 // Follower keeps a copy of the published values up to date.
 type Follower struct {
 	cfg   Config
 	state atomic.Pointer[State]
 	inbox chan func(now time.Time)
-	newer chan string
+	newer chan sighting
+	relay relay
 	group sync.WaitGroup
 
 	// lost is set while the store is out of reach; lostAt and regainedAt
@@ -64,11 +79,15 @@
 	lost       atomic.Bool
 	lostAt     time.Time
 	regainedAt time.Time
+
+	changedMu sync.Mutex
+	changed   chan struct{}
 }
 
 // New returns a follower that knows nothing.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, inbox: make(chan func(now time.Time), inboxLength), newer: make(chan string, 1)}
+	f := &Follower{cfg: cfg, inbox: make(chan func(now time.Time), inboxLength), newer: make(chan sighting, 1),
+		changed: make(chan struct{}), relay: relay{zone: cfg.Zone, own: cfg.Own, failed: make(map[member.InstanceID]time.Time)}}
 	f.state.Store(&State{})
 	f.lost.Store(true)
 	return f
@@ -83,12 +102,12 @@
 // Seen takes the version and revision that a peer showed on the data path and
 // has the peer asked if they are newer.
 func (f *Follower) Seen(address string, version catalog.Version, revision catalog.Revision) {
-	state := f.State()
-	if version <= state.Version() && revision <= state.Revision() {
+	seen := sighting{address: address, version: version, revision: revision}
+	if !f.behind(seen) {
 		return
 	}
 	select {
-	case f.newer <- address:
+	case f.newer <- seen:
 	default: // a question is due already
 	}
 }
@@ -133,6 +152,7 @@
 	}
 	f.state.Store(next)
 	f.cfg.OnChange(next)
+	f.wake()
 }
 
 // keepRemoved reports whether removals may come from entries that lapsed while
@@ -166,7 +186,11 @@
 		return
 	}
 	fromStore := source == sourceStore
-	f.publish(f.State().withList(now, fresh, fromStore && f.keepRemoved(now)))
+	before := f.State().Directory
+	f.publish(f.State().withList(now, fresh, s.Holding || (fromStore && f.keepRemoved(now))))
+	if source == sourceReader && before != nil && before.Len() == fresh.Len() {
+		return // the reader logs single changes
+	}
 	f.cfg.Log.Info("list of instances read", "source", source, "revision", fresh.Revision(), "instances", fresh.Len())
 }
 
@@ -198,8 +222,9 @@
 
 // Sources of findings.
 const (
-	sourceStore = "store"
-	sourcePeer  = "peer"
+	sourceStore  = "store"
+	sourceReader = "reader"
+	sourcePeer   = "peer"
 )
 
 // readStore reads everything and watches from there, for ever.
@@ -207,6 +232,11 @@
 	var revision catalog.Revision
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		if f.readRelay(ctx) {
+			f.regained(ctx)
+			revision = f.State().Revision()
+			continue
+		}
 		next, err := f.readOnce(ctx, revision)
 		if err == nil {
 			revision, backoff = next, firstBackoff
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -69,7 +69,7 @@
 	err    error
 }
 
-func (p *fakePeer) Published(_ context.Context, address string, _ catalog.Version, _ catalog.Revision) (Snapshot, error) {
+func (p *fakePeer) Published(_ context.Context, address string, _ Known) (Snapshot, error) {
 	p.asked = append(p.asked, address)
 	return p.answer, p.err
 }
@@ -174,6 +174,7 @@
 			t.Errorf("asked %v though nothing was newer", peer.asked)
 		}
 		f.Seen("peer", 8, 1)
+		time.Sleep(2 * seenDelay)
 		synctest.Wait()
 		if got := f.State().Version(); got != 8 {
 			t.Errorf("version %d, want 8", got)
--- a/follow/peers.go
+++ b/follow/peers.go
@@ -15,8 +15,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case address := <-f.newer:
-			f.ask(ctx, address)
+		case seen := <-f.newer:
+			// The own watch mostly shows the same a moment later.
+			if sleep(ctx, seenDelay) && f.behind(seen) {
+				f.ask(ctx, seen.address)
+			}
 		case <-ticker.C:
 			if f.lost.Load() {
 				f.ask(ctx, f.anyPeer())
@@ -25,6 +28,12 @@
 	}
 }
 
+// behind reports whether the node lacks what a peer showed.
+func (f *Follower) behind(s sighting) bool {
+	state := f.State()
+	return s.version > state.Version() || s.revision > state.Revision()
+}
+
 // anyPeer returns the control address of a random node, or nothing.
 func (f *Follower) anyPeer() string {
 	addresses := append([]string(nil), f.cfg.Seeds...)
@@ -50,7 +59,7 @@
 	bounded, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	state := f.State()
-	snapshot, err := f.cfg.Peer.Published(bounded, address, state.Version(), state.Revision())
+	snapshot, err := f.cfg.Peer.Published(bounded, address, Known{Version: state.Version(), Revision: state.Revision()})
 	if err != nil {
 		f.cfg.Log.V(1).Info("peer did not answer", "peer", address, "reason", err.Error())
 		return
--- /dev/null
+++ b/follow/reader.go
@@ -0,0 +1,97 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+)
+
+const (
+	// relayWait is how long a question to the reader of the zone waits for
+	// something new. With relayMargin and a read of the store it stays under
+	// the two seconds in which a configuration must be in force.
+	relayWait   = time.Second
+	relayMargin = 300 * time.Millisecond
+	// passOver is how long a reader that failed is passed over.
+	passOver = 3 * time.Second
+)
+
+// relay knows who reads the store for the zone. The store charges each call, so
+// one node of a zone watches it and the others wait at that node. It belongs to
+// the goroutine that reads.
+type relay struct {
+	zone member.Zone
+	// own is the address of the instance beside the node.
+	own    string
+	failed map[member.InstanceID]time.Time
+}
+
+// reader returns the instance whose node reads for the zone. It returns false if
+// this node has to read for itself: it is the reader, is not listed, or knows no
+// other.
+func (r *relay) reader(now time.Time, directory *catalog.Directory) (catalog.Instance, bool) {
+	if directory == nil {
+		return catalog.Instance{}, false
+	}
+	byID := make(map[member.InstanceID]catalog.Instance)
+	var ids []member.InstanceID
+	listed := false
+	for _, instance := range directory.Instances() {
+		if instance.Zone != r.zone || instance.Draining {
+			continue
+		}
+		listed = listed || instance.Address == r.own
+		byID[instance.ID] = instance
+		ids = append(ids, instance.ID)
+	}
+	first, ok := member.First(ids, func(id member.InstanceID) bool {
+		at, failed := r.failed[id]
+		return failed && now.Sub(at) < passOver
+	})
+	if !ok || !listed || byID[first].Address == r.own {
+		return catalog.Instance{}, false
+	}
+	return byID[first], true
+}
+
+// readRelay waits at the reader of the zone for something new. It returns false
+// if the node should read the store itself now.
+func (f *Follower) readRelay(ctx context.Context) bool {
+	now := time.Now()
+	reader, ok := f.relay.reader(now, f.State().Directory)
+	if !ok || f.State().Catalog == nil {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, relayWait+relayMargin)
+	defer cancel()
+	state := f.State()
+	snapshot, err := f.cfg.Peer.Published(bounded, f.cfg.ControlAddress(reader), Known{
+		Version: state.Version(), Revision: state.Revision(), Wait: relayWait,
+	})
+	if err != nil {
+		if ctx.Err() == nil {
+			f.cfg.Log.Info("reader of the zone lost", "reader", reader.ID, "reason", err.Error())
+			f.relay.failed[reader.ID] = now
+		}
+		return false
+	}
+	f.tell(ctx, func(now time.Time) { f.applySnapshot(now, snapshot, sourceReader) })
+	return true
+}
+
+// Changed returns a channel that is closed with the next new state.
+func (f *Follower) Changed() <-chan struct{} {
+	f.changedMu.Lock()
+	defer f.changedMu.Unlock()
+	return f.changed
+}
+
+// wake ends the waits for a new state.
+func (f *Follower) wake() {
+	f.changedMu.Lock()
+	defer f.changedMu.Unlock()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
--- /dev/null
+++ b/follow/reader_test.go
@@ -0,0 +1,58 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+)
+
+// zoneOf returns a list of instances in one zone, with one more in another.
+func zoneOf(n int) *catalog.Directory {
+	list := []catalog.Instance{{ID: "far", Zone: "z2", Address: "far"}}
+	for i := range n {
+		id := fmt.Sprint("i", i)
+		list = append(list, catalog.Instance{ID: member.InstanceID(id), Zone: "z1", Address: id})
+	}
+	return catalog.NewDirectory(1, list)
+}
+
+func TestOneNodeReadsForTheZone(t *testing.T) {
+	directory := zoneOf(8)
+	now := time.Unix(1000, 0)
+	readers := make(map[member.InstanceID]bool)
+	own := 0
+	for i := range 8 {
+		r := relay{zone: "z1", own: fmt.Sprint("i", i), failed: map[member.InstanceID]time.Time{}}
+		if reader, ok := r.reader(now, directory); ok {
+			readers[reader.ID] = true
+		} else {
+			own++
+		}
+	}
+	if own != 1 || len(readers) != 1 || readers["far"] {
+		t.Errorf("%d nodes read for themselves, the others at %v; want one reader in the zone", own, readers)
+	}
+}
+
+func TestNodeReadsForItselfWithoutAReader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := relay{zone: "z1", own: "unlisted", failed: map[member.InstanceID]time.Time{}}
+	if _, ok := r.reader(now, zoneOf(3)); ok {
+		t.Error("a node whose instance is not listed waits for another")
+	}
+	if _, ok := r.reader(now, nil); ok {
+		t.Error("a node without a list waits for another")
+	}
+	r.own = "i0"
+	for range 4 {
+		reader, ok := r.reader(now, zoneOf(4))
+		if !ok {
+			return
+		}
+		r.failed[reader.ID] = now
+	}
+	t.Error("all readers failed and the node still does not read for itself")
+}
--- a/follow/store.go
+++ b/follow/store.go
@@ -29,6 +29,9 @@
 	// Configuration is the newest one as published, empty if there is none.
 	Configuration []byte
 	Instances     []catalog.Instance
+	// Holding is set if the peer that answers does not believe all removals
+	// yet, see catalog.Directory.
+	Holding bool
 }
 
 // Changes are what has been published since a revision.
@@ -51,7 +54,16 @@
 
 // Peer is another node that can be asked for what it has read.
 type Peer interface {
-	// Published returns what the peer knows beyond the given version and
-	// revision. Its fields are empty where the peer knows nothing newer.
-	Published(ctx context.Context, address string, version catalog.Version, revision catalog.Revision) (Snapshot, error)
+	// Published returns what the peer knows beyond what is known. Its fields
+	// are empty where the peer knows nothing newer. A peer that is asked to
+	// wait and has lost the store itself answers with an error.
+	Published(ctx context.Context, address string, known Known) (Snapshot, error)
+}
+
+// Known is what a node has read.
+type Known struct {
+	Version  catalog.Version
+	Revision catalog.Revision
+	// Wait is how long the peer may wait for something newer.
+	Wait time.Duration
 }
--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -56,6 +56,8 @@
 	effects []slots.Effect
 	// usual is the average run time of each route.
 	usual map[string]time.Duration
+	// draining is set while the list says that the own instance drains.
+	draining atomic.Bool
 }
 
 func newGuard(cfg guardConfig) *guard {
@@ -77,6 +79,7 @@
 // stateChanged takes the published slots of the own instance.
 func (g *guard) stateChanged(state *follow.State) {
 	own, listed := g.own(state)
+	g.draining.Store(listed && own.Draining)
 	if !listed {
 		return
 	}
@@ -107,7 +110,7 @@
 }
 
 func (g *guard) admitAndSend(ctx context.Context, c guardCall) outcome {
-	if own, listed := g.own(g.cfg.state()); listed && own.Draining {
+	if g.draining.Load() {
 		return refusedOutcome(reasonDraining, "")
 	}
 	if g.cfg.closed.Load() {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -98,7 +98,7 @@
 	}
 	clients := newControlClients()
 	n.follower = follow.New(follow.Config{
-		Store: cfg.Store, Peer: clients, Seeds: cfg.Seeds, ControlAddress: controlOf, OnChange: n.stateChanged, Log: cfg.Log,
+		Store: cfg.Store, Peer: clients, Zone: cfg.Zone, Own: cfg.Upstream, Seeds: cfg.Seeds, ControlAddress: controlOf, OnChange: n.stateChanged, Log: cfg.Log,
 	})
 	seen := func(ip string, k known) {
 		address := net.JoinHostPort(ip, fmt.Sprint(controlAddress.Port()))
@@ -274,7 +274,7 @@
 	guardServer := newDataServer("guard", n.counted(n.guard.handle), defaultLimits(), log)
 	ready := newDataServer("ready", n.handleReady, defaultLimits(), log)
 	metricsServer := newDataServer("metrics", n.handleMetrics, defaultLimits(), log)
-	control := newControlServer(&controlService{state: n.follower.State, quota: n.quota})
+	control := newControlServer(&controlService{follower: n.follower, quota: n.quota, leaving: &n.leaving})
 	listeners := []struct {
 		name, address string
 		serve         func(net.Listener) error
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"github.com/valyala/fasthttp"
 
 	"github.com/toucancove/toucancove/core/catalog"
@@ -110,9 +112,9 @@
 
 func newControlClients() *controlClients {
 	dialer := newDialer(dialTimeout)
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: defaultIdle}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: defaultIdle}
 	return &controlClients{
-		http: &http.Client{Transport: transport, Timeout: controlTimeout}, clients: make(map[string]meshpb.Mesh),
+		http: &http.Client{Transport: transport}, clients: make(map[string]meshpb.Mesh),
 	}
 }
 
@@ -128,12 +130,16 @@
 }
 
 // Published implements follow.Peer.
-func (c *controlClients) Published(ctx context.Context, address string, version catalog.Version, revision catalog.Revision) (follow.Snapshot, error) {
-	answer, err := c.client(address).Published(ctx, &meshpb.PublishedRequest{Version: uint64(version), Revision: uint64(revision)})
+func (c *controlClients) Published(ctx context.Context, address string, known follow.Known) (follow.Snapshot, error) {
+	answer, err := c.client(address).Published(ctx, &meshpb.PublishedRequest{
+		Version: uint64(known.Version), Revision: uint64(known.Revision), WaitMs: uint32(known.Wait.Milliseconds()),
+	})
 	if err != nil {
 		return follow.Snapshot{}, err
 	}
-	snapshot := follow.Snapshot{Revision: catalog.Revision(answer.Revision), Configuration: answer.Configuration}
+	snapshot := follow.Snapshot{
+		Revision: catalog.Revision(answer.Revision), Configuration: answer.Configuration, Holding: answer.Holding,
+	}
 	for _, i := range answer.Instances {
 		snapshot.Instances = append(snapshot.Instances, catalog.Instance{
 			ID: member.InstanceID(i.Id), Service: i.Service, Address: i.Address, Zone: member.Zone(i.Zone),
@@ -145,18 +151,27 @@
 
 // controlService answers control calls of other nodes.
 type controlService struct {
-	state func() *follow.State
-	quota *quota
+	follower *follow.Follower
+	quota    *quota
+	leaving  *atomic.Bool
 }
 
+// errNotReader means that the node can't be waited at for news of the store.
+var errNotReader = twirp.NewError(twirp.Unavailable, "node has lost the store or stops")
+
 // DrawTokens implements the twirp service.
 func (s *controlService) DrawTokens(_ context.Context, in *meshpb.DrawRequest) (*meshpb.DrawReply, error) {
 	return s.quota.answer(in), nil
 }
 
 // Published implements the twirp service.
-func (s *controlService) Published(_ context.Context, in *meshpb.PublishedRequest) (*meshpb.PublishedReply, error) {
-	state := s.state()
+func (s *controlService) Published(ctx context.Context, in *meshpb.PublishedRequest) (*meshpb.PublishedReply, error) {
+	if in.WaitMs > 0 {
+		if err := s.wait(ctx, in); err != nil {
+			return nil, err
+		}
+	}
+	state := s.follower.State()
 	answer := &meshpb.PublishedReply{}
 	if state.Version() > catalog.Version(in.Version) {
 		answer.Configuration = state.Configuration()
@@ -164,8 +179,8 @@
 	if state.Revision() <= catalog.Revision(in.Revision) {
 		return answer, nil
 	}
-	answer.Revision = uint64(state.Revision())
-	for _, i := range state.Directory.Instances() {
+	answer.Revision, answer.Holding = uint64(state.Revision()), state.Directory.Holding()
+	for _, i := range state.Directory.Listed() {
 		answer.Instances = append(answer.Instances, &meshpb.Instance{
 			Id: string(i.ID), Service: i.Service, Address: i.Address, Zone: string(i.Zone),
 			Slots: uint32(max(i.Slots, 0)), BootId: uint64(i.Boot), Draining: i.Draining,
@@ -174,6 +189,29 @@
 	return answer, nil
 }
 
+// wait returns once the node knows something newer, or the time is over.
+func (s *controlService) wait(ctx context.Context, in *meshpb.PublishedRequest) error {
+	timer := time.NewTimer(time.Duration(in.WaitMs) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		if s.leaving.Load() || s.follower.StoreLost() {
+			return errNotReader
+		}
+		changed := s.follower.Changed()
+		state := s.follower.State()
+		if uint64(state.Version()) > in.Version || uint64(state.Revision()) > in.Revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // newControlServer returns the server of the control listener.
 func newControlServer(service *controlService) *http.Server {
 	const readTimeout = 5 * time.Second
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -16,7 +16,7 @@
 
 const (
 	// drawInterval is the time between draws of lots.
-	drawInterval = 250 * time.Millisecond
+	drawInterval = 350 * time.Millisecond
 	// askTimeout bounds the wait of a request for a token. A collector answers
 	// within a few milliseconds.
 	askTimeout = 60 * time.Millisecond
@@ -208,7 +208,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	collector, ok := usage.CollectorOf(ids, func(id member.InstanceID) bool {
+	collector, ok := member.First(ids, func(id member.InstanceID) bool {
 		at, failed := q.silent[id]
 		return failed && now.Sub(at) < silentFor
 	})
@@ -250,7 +250,7 @@
 	for _, g := range grants {
 		list = append(list, &meshpb.Grant{
 			Workspace: g.Workspace, Tokens: float32(g.Tokens), Demand: float32(g.Demand),
-			RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
+			RetryAfterMs: uint32(g.RetryAfter.Milliseconds()), Credit: g.Credit,
 		})
 	}
 	return list
@@ -261,7 +261,7 @@
 	for _, m := range messages {
 		list = append(list, usage.Grant{
 			Workspace: m.Workspace, Tokens: float64(m.Tokens), Demand: float64(m.Demand),
-			RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+			RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond, Credit: m.Credit,
 		})
 	}
 	return list
