Test the path over sockets; do not cut streamed answers

Cause: an answer above 128 KiB was passed on as a stream whose connection was closed as soon as the handler returned (TestLargeBodiesAreStreamed: 502). An instance's rejection without an id was taken for a stray answer (TestRejectedRequestRunsElsewhere: 504 after the timeout of the route).

Ruled out: the relay of bodies (the request arrived whole).

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -21,6 +21,9 @@
 	watchWait = 2500 * time.Millisecond
 	// readTimeout bounds one read of everything.
 	readTimeout = 3 * time.Second
+	// watchPause follows changes of the list, so that several at a time, as when
+	// a fleet starts, cost one call.
+	watchPause = 100 * time.Millisecond
 	// watchMargin is how much longer than its wait a watch may take.
 	watchMargin = time.Second
 	// firstBackoff and maxBackoff bound the pause after a failed call.
@@ -276,6 +279,9 @@
 	}
 	f.regained(ctx)
 	f.tell(ctx, func(now time.Time) { f.applyChanges(now, changes) })
+	if len(changes.Instances) > 0 {
+		sleep(ctx, watchPause)
+	}
 	return max(revision, changes.Revision), nil
 }
 
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -29,20 +29,17 @@
 }
 
 // reader returns the instance whose node reads for the zone. It returns false if
-// this node has to read for itself: it is the reader, is not listed, or knows no
-// other.
+// this node has to read for itself: it is the reader, or knows no other.
 func (r *relay) reader(now time.Time, directory *catalog.Directory) (catalog.Instance, bool) {
 	if directory == nil {
 		return catalog.Instance{}, false
 	}
 	byID := make(map[member.InstanceID]catalog.Instance)
 	var ids []member.InstanceID
-	listed := false
 	for _, instance := range directory.Instances() {
 		if instance.Zone != r.zone || instance.Draining {
 			continue
 		}
-		listed = listed || instance.Address == r.own
 		byID[instance.ID] = instance
 		ids = append(ids, instance.ID)
 	}
@@ -50,7 +47,7 @@
 		at, failed := r.failed[id]
 		return failed && now.Sub(at) < passOver
 	})
-	if !ok || !listed || byID[first].Address == r.own {
+	if !ok || byID[first].Address == r.own {
 		return catalog.Instance{}, false
 	}
 	return byID[first], true
@@ -61,7 +58,7 @@
 func (f *Follower) readRelay(ctx context.Context) bool {
 	now := time.Now()
 	reader, ok := f.relay.reader(now, f.State().Directory)
-	if !ok || f.State().Catalog == nil {
+	if !ok {
 		return false
 	}
 	bounded, cancel := context.WithTimeout(ctx, relayWait+relayMargin)
--- /dev/null
+++ b/mesh/hint_test.go
@@ -0,0 +1,83 @@
+package mesh
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/toucancove/toucancove/core/catalog"
+)
+
+func TestHintsAndCallsSurviveTheWire(t *testing.T) {
+	for _, h := range []hint{
+		{Own: 0, Chain: 0},
+		{Own: 99, Chain: 250, Leaving: true, known: known{Version: 12, Revision: 530}},
+	} {
+		if got, ok := parseHint(string(h.append(nil))); !ok || got != h {
+			t.Errorf("%+v came back as %+v, %v", h, got, ok)
+		}
+	}
+	for _, c := range []callInfo{{}, {Rank: 2002, Invested: true, known: known{Version: 7, Revision: 9}}} {
+		if got, ok := parseCall(string(c.append(nil))); !ok || got != c {
+			t.Errorf("%+v came back as %+v, %v", c, got, ok)
+		}
+	}
+	for _, text := range []string{"", "1", "1 2", "a 2 3.4", "1 2 3", "1 2 3.x"} {
+		if _, ok := parseHint(text); ok {
+			t.Errorf("%q was taken for a hint", text)
+		}
+	}
+}
+
+func TestLineageFindsTheParentByItsDeadline(t *testing.T) {
+	l := newLineage()
+	now := time.Unix(1000, 0)
+	first := &parent{deadline: now.Add(500 * time.Millisecond), rank: 1, chain: l.chain("a")}
+	second := &parent{deadline: now.Add(520 * time.Millisecond), rank: 2, chain: l.chain("b")}
+	l.begin(first)
+	l.begin(second)
+	if got := l.parentOf(now.Add(518 * time.Millisecond)); got != second {
+		t.Errorf("parent %v, want the second", got)
+	}
+	if got := l.parentOf(now.Add(510 * time.Millisecond)); got != nil {
+		t.Errorf("parent %v of a call that belongs to none", got)
+	}
+	l.end(second)
+	if got := l.parentOf(now.Add(518 * time.Millisecond)); got != nil {
+		t.Errorf("parent %v that has ended", got)
+	}
+}
+
+func TestWatchKeepsTheNextRequest(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	conn := &callerConn{Conn: near}
+	conn.watch(func() { t.Error("caller taken for gone") })
+	go func() { _, _ = far.Write([]byte("GET")) }()
+	time.Sleep(time.Millisecond)
+	conn.unwatch()
+	var got []byte
+	for len(got) < 3 {
+		b := make([]byte, 3)
+		n, err := conn.Read(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, b[:n]...)
+	}
+	if string(got) != "GET" {
+		t.Errorf("read %q, want GET", got)
+	}
+}
+
+func TestSplitIsExact(t *testing.T) {
+	route := &catalog.Route{Parts: []catalog.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	s := newSplit(route)
+	counts := make(map[string]int)
+	for range 1000 {
+		counts[s.next()]++
+	}
+	if counts["a"] != 900 || counts["b"] != 100 {
+		t.Errorf("counts %v, want 900 and 100", counts)
+	}
+}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -296,14 +296,17 @@
 		if err := response.ReadLimitBody(conn.reader, 0); err != nil {
 			return nil, err
 		}
-		answer, whole, err := l.readBody(conn, response, stop)
+		answer, whole, err := l.readBody(conn, response)
 		if err != nil {
 			return nil, err
 		}
-		own := len(id) == 0 || string(response.Header.Peek(l.requestID)) == string(id)
-		if own {
-			if whole {
+		if l.belongs(response, id) {
+			switch {
+			case whole:
 				l.finish(conn, response, stop, strays == 0)
+			case !stop():
+				// The stream ends with its reader from now on.
+				return nil, errCallerGone
 			}
 			return answer, nil
 		}
@@ -313,9 +316,23 @@
 	}
 }
 
+// belongs reports whether an answer is that to the request with the id. A
+// failure may come without an id, as from an instance that did not read the
+// request; a success may not.
+func (l *link) belongs(response *fasthttp.Response, id []byte) bool {
+	if len(id) == 0 {
+		return true
+	}
+	echoed := response.Header.Peek(l.requestID)
+	if len(echoed) == 0 {
+		return response.StatusCode() >= fasthttp.StatusBadRequest
+	}
+	return string(echoed) == string(id)
+}
+
 // readBody reads a body of moderate size as a whole and leaves a larger one as a
 // stream.
-func (l *link) readBody(conn *linkConn, response *fasthttp.Response, stop func() bool) (answer *reply, whole bool, err error) {
+func (l *link) readBody(conn *linkConn, response *fasthttp.Response) (answer *reply, whole bool, err error) {
 	stream := response.BodyStream()
 	if stream == nil {
 		return &reply{response: response, body: response.Body()}, true, nil
@@ -331,7 +348,7 @@
 		_ = response.CloseBodyStream() // read to its end
 		return &reply{response: response, body: head}, true, nil
 	}
-	rest := &replyStream{link: l, conn: conn, response: response, stop: stop, head: head, tail: stream}
+	rest := &replyStream{link: l, conn: conn, response: response, head: head, tail: stream}
 	return &reply{response: response, stream: rest}, false, nil
 }
 
@@ -372,11 +389,9 @@
 	link     *link
 	conn     *linkConn
 	response *fasthttp.Response
-	stop     func() bool
 	head     []byte
 	tail     io.Reader
 	whole    bool
-	failed   bool
 }
 
 // Read implements io.Reader. It returns io.EOF only after the whole body.
@@ -389,8 +404,6 @@
 	n, err := s.tail.Read(p)
 	if errors.Is(err, io.EOF) {
 		s.whole = true
-	} else if err != nil {
-		s.failed = true
 	}
 	return n, err
 }
@@ -403,11 +416,10 @@
 	conn := s.conn
 	s.conn = nil
 	if !s.whole {
-		s.stop()
 		return conn.Close()
 	}
 	_ = s.response.CloseBodyStream() // read to its end
-	s.link.finish(conn, s.response, s.stop, true)
+	s.link.finish(conn, s.response, func() bool { return true }, true)
 	return nil
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -184,6 +184,9 @@
 		n.drain()
 	case err = <-failed:
 	}
+	for _, s := range servers {
+		_ = s.listener.Close() // the process ends
+	}
 	cancel()
 	n.follower.Wait()
 	n.group.Wait()
@@ -233,8 +236,9 @@
 
 // server is a listener with what serves it.
 type server struct {
-	name  string
-	serve func() error
+	name     string
+	listener net.Listener
+	serve    func() error
 }
 
 // serverLimits bound what one caller can occupy.
@@ -270,10 +274,10 @@
 
 func (n *Node) listen() ([]server, error) {
 	log := &serverLog{n.log}
-	entryServer := newDataServer("entry", n.counted(n.entry.handle), defaultLimits(), log)
-	guardServer := newDataServer("guard", n.counted(n.guard.handle), defaultLimits(), log)
-	ready := newDataServer("ready", n.handleReady, defaultLimits(), log)
-	metricsServer := newDataServer("metrics", n.handleMetrics, defaultLimits(), log)
+	entryServer := newDataServer(n.counted(n.entry.handle), defaultLimits(), log)
+	guardServer := newDataServer(n.counted(n.guard.handle), defaultLimits(), log)
+	ready := newDataServer(n.handleReady, defaultLimits(), log)
+	metricsServer := newDataServer(n.handleMetrics, defaultLimits(), log)
 	control := newControlServer(&controlService{follower: n.follower, quota: n.quota, leaving: &n.leaving})
 	listeners := []struct {
 		name, address string
@@ -293,7 +297,7 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s for %s", l.address, l.name)
 		}
-		servers = append(servers, server{l.name, func() error { return l.serve(listener) }})
+		servers = append(servers, server{l.name, listener, func() error { return l.serve(listener) }})
 	}
 	return servers, nil
 }
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -222,10 +222,9 @@
 }
 
 // newDataServer returns a server for one of the data listeners.
-func newDataServer(name string, handler fasthttp.RequestHandler, limits serverLimits, log *serverLog) *fasthttp.Server {
+func newDataServer(handler fasthttp.RequestHandler, limits serverLimits, log *serverLog) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      handler,
-		Name:                         name,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
--- a/mesh/refusal.go
+++ b/mesh/refusal.go
@@ -18,7 +18,6 @@
 }
 
 func (a *refusal) write(ctx *fasthttp.RequestCtx, requestIDHeader, requestID string) {
-	ctx.Response.Reset()
 	ctx.SetStatusCode(a.status)
 	ctx.Response.Header.SetNoDefaultContentType(true)
 	if requestID != "" {
