--- a/core/usage/limiter.go
+++ b/core/usage/limiter.go
@@ -98,6 +98,9 @@
 	return &Limiter{tolerance: tolerance, nodes: 1, heardAt: now, lots: make(map[string]*lot)}
 }
 
+// SetTolerance replaces the tolerance.
+func (l *Limiter) SetTolerance(t Tolerance) { l.tolerance = t }
+
 // Configure takes the published workspaces and the number of nodes. A lot of a
 // workspace whose rate fell is dropped, since it was sized to the higher one.
 func (l *Limiter) Configure(now time.Time, workspaces []catalog.Workspace, nodes int) {
@@ -152,6 +155,22 @@
 	return true
 }
 
+// ClaimAlone takes a token for a request that was Short and about which no
+// collector said anything: the node's share of the rate, or what it may spend on
+// credit.
+func (l *Limiter) ClaimAlone(now time.Time, workspace string) bool {
+	held := l.lots[workspace]
+	if held == nil {
+		return true
+	}
+	held.mint(now, l.nodes)
+	if held.tokens <= -held.most() {
+		return false
+	}
+	held.tokens--
+	return true
+}
+
 // RetryAfter returns the time until a token of the workspace is expected.
 func (l *Limiter) RetryAfter(now time.Time, workspace string) time.Duration {
 	held := l.lots[workspace]
--- a/core/usage/pool.go
+++ b/core/usage/pool.go
@@ -47,6 +47,9 @@
 	return &Pool{tolerance: tolerance, workspaces: make(map[string]*minting)}
 }
 
+// SetTolerance replaces the tolerance. Lower depths apply with the next mint.
+func (p *Pool) SetTolerance(t Tolerance) { p.tolerance = t }
+
 // Configure takes the published workspaces.
 func (p *Pool) Configure(now time.Time, workspaces []catalog.Workspace) {
 	next := make(map[string]*minting, len(workspaces))
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -164,6 +164,23 @@
 	}
 }
 
+// A collector that has just started knows no workspace yet.
+func TestCollectorWithoutAnAnswerRefusesLittle(t *testing.T) {
+	w := catalog.Workspace{Name: "w", Rate: 90, Burst: 90}
+	f := newFleet(9, w)
+	f.pool = NewPool(tolerance)
+	refused := 0
+	for i := range 90 {
+		now := start.Add(time.Duration(i) * time.Second / 90)
+		if !f.request(now, i%9, "w") && !f.limiters[i%9].ClaimAlone(now, "w") {
+			refused++
+		}
+	}
+	if refused > 9 {
+		t.Errorf("%d of 90 requests at the rate refused, want at most one in ten", refused)
+	}
+}
+
 func TestUnusedTokensComeBack(t *testing.T) {
 	w := catalog.Workspace{Name: "w", Rate: 100, Burst: 100}
 	f := newFleet(2, w)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -133,6 +133,12 @@
 	n.guard.stateChanged(state)
 }
 
+// SetBounds replaces the limits of quotas and retries while the node runs.
+func (n *Node) SetBounds(quota usage.Tolerance, retries RetryLimits) {
+	n.quota.setTolerance(quota)
+	n.routes.setLimits(retries)
+}
+
 // Ready reports whether the node serves.
 func (n *Node) Ready() bool {
 	state := n.follower.State()
@@ -152,7 +158,7 @@
 	acceptShare = 0.5
 	// stopShare is the part of the grace period after which the node ends even
 	// if requests still run.
-	stopShare = 0.97
+	stopShare = 0.93
 	// drainCheck is the time between looks for running requests in a stop.
 	drainCheck = 20 * time.Millisecond
 	// expireInterval is the time between looks for expired idle connections.
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -82,6 +82,9 @@
 			break
 		}
 	}
+	if retryAfter == 0 && q.limiter.ClaimAlone(time.Now(), workspace) {
+		return true, 0
+	}
 	return false, max(retryAfter, askTimeout)
 }
 
@@ -99,7 +102,8 @@
 	go func() {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 		defer cancel()
-		q.draw(bounded, []usage.Draw{draw})
+		// A slow answer to one request is no sign that the collector is lost.
+		_, _ = q.draw(bounded, []usage.Draw{draw})
 		q.mu.Lock()
 		delete(q.asks, workspace)
 		q.mu.Unlock()
@@ -108,6 +112,14 @@
 	return pending
 }
 
+// setTolerance replaces the tolerance of the platform's rule.
+func (q *quota) setTolerance(t usage.Tolerance) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.limiter.SetTolerance(t)
+	q.pool.SetTolerance(t)
+}
+
 // giveBack returns what a request took that did not run.
 func (q *quota) giveBack(workspace string) {
 	q.mu.Lock()
@@ -153,18 +165,19 @@
 				continue
 			}
 			bounded, cancel := context.WithTimeout(ctx, controlTimeout)
-			q.draw(bounded, draws)
+			if collector, err := q.draw(bounded, draws); err != nil {
+				q.lost(now, collector, err)
+			}
 			cancel()
 		}
 	}
 }
 
-// draw asks the collector and takes what it grants.
-func (q *quota) draw(ctx context.Context, draws []usage.Draw) {
-	now := time.Now()
-	collector, address, ok := q.collectorOf(now)
+// draw asks the collector, which it returns, and takes what it grants.
+func (q *quota) draw(ctx context.Context, draws []usage.Draw) (member.InstanceID, error) {
+	collector, address, ok := q.collectorOf(time.Now())
 	if !ok {
-		return
+		return "", nil // no instance is known yet
 	}
 	message := &meshpb.DrawRequest{Node: q.node, Draws: drawMessages(draws)}
 	answer := &meshpb.DrawReply{}
@@ -173,13 +186,13 @@
 	} else {
 		var err error
 		if answer, err = q.clients.client(address).DrawTokens(ctx, message); err != nil {
-			q.lost(now, collector, err)
-			return
+			return collector, err
 		}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.limiter.Granted(time.Now(), grantsFrom(answer.Grants))
+	return collector, nil
 }
 
 func (q *quota) lost(now time.Time, collector member.InstanceID, err error) {
--- a/mesh/routes.go
+++ b/mesh/routes.go
@@ -116,10 +116,11 @@
 		tables[name] = table
 	}
 	s.nodes = max(state.Directory.Len(), 1)
+	limits := s.limits
 	s.mu.Unlock()
 	for name, table := range tables {
 		table.update(now, byService[name])
-		table.setBudgets(s.limits, state.Directory.Len())
+		table.setBudgets(limits, state.Directory.Len())
 	}
 }
 
@@ -154,6 +155,16 @@
 	t.budgets[repeated].SetLimits(repeatedShare*limits.Ratio, slack, life)
 }
 
+// setLimits replaces the limits of retries.
+func (s *routes) setLimits(limits RetryLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = limits
+	for _, t := range s.services {
+		t.setBudgets(limits, s.nodes)
+	}
+}
+
 func (s *routes) service(name string) *serviceTable {
 	s.mu.Lock()
 	defer s.mu.Unlock()
