--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -60,7 +61,8 @@
 			c.hasKept = true
 			return
 		}
-		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
 			return
 		}
 		c.gone.Store(true)
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -41,8 +41,6 @@
 	gates   *gates
 	quota   *quota
 	report  *reporter
-	// seen is told what peers know.
-	seen func(address string, k known)
 }
 
 // entry takes requests of clients and of the own instance and passes them to an
@@ -76,8 +74,6 @@
 	tried []member.InstanceID
 	// last is the instance of the latest attempt.
 	last member.InstanceID
-	// late is set if the time ran out.
-	late bool
 }
 
 // handle serves the listener for clients and the own instance.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -119,7 +119,7 @@
 	n.entry = &entry{cfg: entryConfig{
 		headers: cfg.Headers, service: cfg.Service, nodeIP: net.IP(peerAddress.Addr().AsSlice()), state: n.follower.State,
 		leaving: &n.leaving, closed: &n.closed, lineage: lineage, guard: n.guard, peers: n.peers, routes: n.routes, gates: n.gates,
-		quota: n.quota, report: report, seen: seen,
+		quota: n.quota, report: report,
 	}}
 	return n, nil
 }
