--- a/proxy/conn.go
+++ b/internal/sockets/peek.go
@@ -1,19 +1,21 @@
-package proxy
+// Package sockets holds what all links between processes need of their TCP
+// connections: a look at what has arrived, and an end for those that go silent.
+package sockets
 
 import (
 	"net"
 	"syscall"
 )
 
-// isQuiet reports whether a connection is open and has nothing to read: it is
+// IsQuiet reports whether a connection is open and has nothing to read: it is
 // false after the other side closed it or sent bytes that nobody asked for.
-func isQuiet(conn net.Conn) bool {
+func IsQuiet(conn net.Conn) bool {
 	state, ok := peek(conn)
 	return !ok || state == peekEmpty
 }
 
-// isClosed reports whether the other side has closed the connection.
-func isClosed(conn net.Conn) bool {
+// IsClosed reports whether the other side has closed the connection.
+func IsClosed(conn net.Conn) bool {
 	state, ok := peek(conn)
 	return ok && state == peekClosed
 }
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -15,7 +15,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
+
+	"github.com/toucancove/toucancove/internal/sockets"
 )
 
 const (
@@ -45,9 +46,6 @@
 	maxBuffered = 128 << 10
 )
 
-// keepAlive finds connections that went silent.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-
 // stage tells how far an exchange got before it failed.
 type stage uint8
 
@@ -159,7 +157,7 @@
 		if conn == nil {
 			return l.dial(ctx, o.deadline)
 		}
-		if now.Sub(conn.idleAt) < conn.keep && isQuiet(conn.Conn) {
+		if now.Sub(conn.idleAt) < conn.keep && sockets.IsQuiet(conn.Conn) {
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -187,7 +185,7 @@
 	if timeout <= 0 {
 		return nil, os.ErrDeadlineExceeded
 	}
-	conn, err := newDialer(timeout).DialContext(ctx, "tcp", l.address)
+	conn, err := sockets.Dialer(timeout, userTimeout).DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		return nil, err
 	}
@@ -200,19 +198,6 @@
 	}, nil
 }
 
-// newDialer returns a dialer whose connections end when they go silent.
-func newDialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-}
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 // keepIdle takes back a connection on which nothing is due.
 func (l *link) keepIdle(conn *linkConn) {
 	conn.idleAt = time.Now()
@@ -422,22 +407,3 @@
 	s.link.finish(conn, s.response, func() bool { return true }, true)
 	return nil
 }
-
-// isQuiet reports whether a connection is open and has nothing to read.
-func isQuiet(conn net.Conn) bool {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = peekErr == syscall.EAGAIN || peekErr == syscall.EINTR
-	})
-	return err == nil && quiet
-}
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -13,6 +13,7 @@
 	"github.com/toucancove/toucancove/core/catalog"
 	"github.com/toucancove/toucancove/core/member"
 	"github.com/toucancove/toucancove/follow"
+	"github.com/toucancove/toucancove/internal/sockets"
 	"github.com/toucancove/toucancove/peer/meshpb"
 )
 
@@ -111,7 +112,7 @@
 const controlTimeout = 500 * time.Millisecond
 
 func newControlClients() *controlClients {
-	dialer := newDialer(dialTimeout)
+	dialer := sockets.Dialer(dialTimeout, userTimeout)
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: defaultIdle}
 	return &controlClients{
 		http: &http.Client{Transport: transport}, clients: make(map[string]meshpb.Mesh),
--- a/proxy/active.go
+++ b/proxy/active.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/toucancove/toucancove/config"
+	"github.com/toucancove/toucancove/internal/sockets"
 )
 
 // ActiveCalls tracks the requests that run through a node, so that they can be
@@ -76,7 +77,7 @@
 // passed over.
 func (a *ActiveCalls) CancelAbandoned(cutoff time.Time) int {
 	return a.cancelIf(errCallerGone, func(call *activeCall) bool {
-		return call.caller != nil && call.started.Before(cutoff) && isClosed(call.caller)
+		return call.caller != nil && call.started.Before(cutoff) && sockets.IsClosed(call.caller)
 	})
 }
 
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/toucancove/toucancove/internal/sockets"
 )
 
 const (
@@ -163,7 +165,7 @@
 		if err != nil {
 			return connection{}, err
 		}
-		if try >= maxReusedConnTries || isQuiet(pooled.Conn()) {
+		if try >= maxReusedConnTries || sockets.IsQuiet(pooled.Conn()) {
 			release := func(reuse bool) {
 				if reuse {
 					c.host.ReleaseConn(pooled)
