--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
 	"github.com/toucancove/toucancove/core/catalog"
@@ -38,7 +37,6 @@
 	closed  *atomic.Bool
 	lineage *lineage
 	report  *reporter
-	log     logr.Logger
 	// seen is told what peers know.
 	seen func(address string, k known)
 }
--- a/mesh/headers.go
+++ b/mesh/headers.go
@@ -22,8 +22,6 @@
 	Caller string
 	// Instance names the only instance that may run a request.
 	Instance string
-	// Signature marks an answer as that of an instance.
-	Signature string
 	// NotRun marks an answer of an instance that did not run the request.
 	NotRun string
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -114,7 +114,7 @@
 	n.peers = newPeers(cfg.Headers, peerAddress.Port(), seen)
 	n.guard = newGuard(guardConfig{
 		headers: cfg.Headers, address: cfg.Upstream, state: n.follower.State, leaving: &n.announced, closed: &n.guardClosed,
-		lineage: lineage, report: report, log: cfg.Log, seen: seen,
+		lineage: lineage, report: report, seen: seen,
 	})
 	n.entry = &entry{cfg: entryConfig{
 		headers: cfg.Headers, service: cfg.Service, nodeIP: net.IP(peerAddress.Addr().AsSlice()), state: n.follower.State,
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -23,7 +23,7 @@
 			request.Header.Set("Connection", "X-Hop")
 			request.Header.Set("X-Hop", "dropped")
 		})
-		if answer.status != http.StatusOK || answer.body != "for "+id || answer.header.Get(testHeaders.Signature) != "s" {
+		if answer.status != http.StatusOK || answer.body != "for "+id || answer.header.Get("T-Signature") != "s" {
 			t.Fatalf("answer %+v, want the instance's own", answer)
 		}
 	}
@@ -72,7 +72,7 @@
 		if got.status != test.status || (got.header.Get("Retry-After") != "") != test.retry {
 			t.Errorf("%s: status %d, Retry-After %q", name, got.status, got.header.Get("Retry-After"))
 		}
-		if got.header.Get(testHeaders.RequestID) != "b" || got.header.Get(testHeaders.Signature) != "" {
+		if got.header.Get(testHeaders.RequestID) != "b" || got.header.Get("T-Signature") != "" {
 			t.Errorf("%s: header %v", name, got.header)
 		}
 	}
@@ -163,7 +163,7 @@
 				return false
 			})
 			got := r.send(0, "/once/x", "a", nil)
-			if got.status != http.StatusBadGateway || got.header.Get(testHeaders.Signature) != "" {
+			if got.status != http.StatusBadGateway || got.header.Get("T-Signature") != "" {
 				t.Errorf("answer %+v, want 502 without a signature", got)
 			}
 		})
--- a/mesh/rig_test.go
+++ b/mesh/rig_test.go
@@ -25,7 +25,7 @@
 // testHeaders are names of headers that no real platform uses.
 var testHeaders = Headers{
 	RequestID: "T-Id", Budget: "T-Budget", Key: "T-Key", Workspace: "T-Workspace", Caller: "T-Caller",
-	Instance: "T-Instance", Signature: "T-Signature", NotRun: "T-Not-Run",
+	Instance: "T-Instance", NotRun: "T-Not-Run",
 }
 
 // memoryStore publishes what the test sets.
