--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -92,7 +92,11 @@
 // Share returns the share of new requests that is admitted.
 func (g *Gate) Share() float64 { return g.share }
 
-// Pressure returns the pressure that the gate acts upon, and its age.
+// Pressure returns the pressure that the gate acts upon, and its age, 0 if none
+// was ever heard.
 func (g *Gate) Pressure(now time.Time) (pressure float64, age time.Duration) {
+	if g.signal.at.IsZero() {
+		return 0, 0
+	}
 	return g.signal.Value(now), now.Sub(g.signal.at)
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -89,8 +89,13 @@
 
 // New returns a follower that knows nothing.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, inbox: make(chan func(now time.Time), inboxLength), newer: make(chan sighting, 1),
-		changed: make(chan struct{}), relay: relay{zone: cfg.Zone, own: cfg.Own, failed: make(map[member.InstanceID]time.Time)}}
+	f := &Follower{
+		cfg:     cfg,
+		inbox:   make(chan func(now time.Time), inboxLength),
+		newer:   make(chan sighting, 1),
+		changed: make(chan struct{}),
+		relay:   relay{zone: cfg.Zone, own: cfg.Own, failed: make(map[member.InstanceID]time.Time)},
+	}
 	f.state.Store(&State{})
 	f.lost.Store(true)
 	return f
@@ -300,9 +305,11 @@
 		return
 	}
 	f.tell(ctx, func(now time.Time) {
-		if !f.lostAt.IsZero() {
-			f.regainedAt = now
+		if f.lostAt.IsZero() {
+			f.cfg.Log.Info("store reached")
+			return
 		}
+		f.regainedAt = now
 		f.cfg.Log.Info("store reached", "after", now.Sub(f.lostAt).String())
 	})
 }
