--- a/core/routing/evidence.go
+++ b/core/routing/evidence.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// connectWeight is the weight of a failed connect in an instance's failure
+	// share: nothing speaks for an instance that can't be reached.
 	connectWeight = 1.0
 	// Back-off before a probe: doubles with each ejection in a row.
 	firstBackoff = time.Second
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -164,7 +164,7 @@
 	// The quota counts what runs: a request that the load turns away takes
 	// nothing from it.
 	if r.workspace != nil {
-		if ok, retryAfter := e.cfg.quota.take(context.Background(), r.workspace.Name); !ok {
+		if ok, retryAfter := e.cfg.quota.take(r.workspace.Name); !ok {
 			return &refusal{status: fasthttp.StatusTooManyRequests, reason: reasonQuota, retryAfter: retryAfter}
 		}
 	}
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -62,7 +62,7 @@
 
 // take counts a request of a workspace and reports whether it is admitted. It
 // may wait for an answer of the collector.
-func (q *quota) take(ctx context.Context, workspace string) (ok bool, retryAfter time.Duration) {
+func (q *quota) take(workspace string) (ok bool, retryAfter time.Duration) {
 	q.mu.Lock()
 	verdict, retryAfter := q.limiter.Take(time.Now(), workspace)
 	if verdict != usage.Short {
@@ -71,7 +71,7 @@
 	}
 	defer q.mu.Unlock()
 	for range maxAsks {
-		pending := q.joinAsk(ctx, workspace)
+		pending := q.joinAsk(workspace)
 		q.mu.Unlock()
 		<-pending.done
 		q.mu.Lock()
@@ -90,7 +90,7 @@
 
 // joinAsk returns the question for the workspace that is under way, or begins
 // one. The lock must be held.
-func (q *quota) joinAsk(ctx context.Context, workspace string) *ask {
+func (q *quota) joinAsk(workspace string) *ask {
 	if pending := q.asks[workspace]; pending != nil {
 		q.joined[workspace]++
 		return pending
@@ -100,7 +100,7 @@
 	draw := q.limiter.DrawFor(time.Now(), workspace, 1+q.joined[workspace])
 	delete(q.joined, workspace)
 	go func() {
-		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+		bounded, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
 		// A slow answer to one request is no sign that the collector is lost.
 		_, _ = q.draw(bounded, []usage.Draw{draw})
