--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -181,6 +181,38 @@
 	}
 }
 
+// All processes of a fleet of 74 nodes are killed while a workspace sends eight
+// times its rate, and begin with nothing known.
+func TestRestartedFleetStaysWithinTheTolerance(t *testing.T) {
+	const nodes, rate = 74, 458
+	w := catalog.Workspace{Name: "w", Rate: rate, Burst: rate}
+	random := rand.New(rand.NewPCG(4, 4))
+	f := newFleet(nodes, w)
+	killed := start.Add(10 * time.Second)
+	for now := start; now.Sub(start) < 20*time.Second; {
+		before := now
+		now = now.Add(time.Duration(random.ExpFloat64() / (rate * 8) * float64(time.Second)))
+		if before.Before(killed) && !now.Before(killed) {
+			admitted := f.admitted
+			f = newFleet(nodes, w)
+			f.admitted = admitted
+			f.pool = NewPool(tolerance)
+			f.pool.Configure(now, []catalog.Workspace{w})
+		}
+		node := random.IntN(nodes)
+		if f.request(now, node, "w") {
+			continue
+		}
+		// The first requests come before the collector knows anything.
+		if now.Sub(killed).Abs() < 200*time.Millisecond && !now.Before(killed) && f.limiters[node].ClaimAlone(now, "w") {
+			f.admitted = append(f.admitted, now)
+		}
+	}
+	if most := (rate*5.0+rate)*1.25 + 20; float64(f.worstWindow(tolerance.Window)) > most {
+		t.Errorf("%v admitted in 5 s, want at most %v", f.worstWindow(tolerance.Window), most)
+	}
+}
+
 func TestUnusedTokensComeBack(t *testing.T) {
 	w := catalog.Workspace{Name: "w", Rate: 100, Burst: 100}
 	f := newFleet(2, w)
