--- a/mesh/report.go
+++ b/mesh/report.go
@@ -80,7 +80,7 @@
 		return
 	}
 	p.log.Info("request answered", "id", r.id, "route", r.route.Name, "workspace", workspaceName(r),
-		"service", r.service, "instance", r.last, "status", status, "attempts", len(r.tried),
+		"service", r.service, "upstream", r.last, "status", status, "attempts", len(r.tried),
 		"took", latency.String(), "leftOut", leftOut)
 }
 
