Keep an upstream's health reads apart from its runs in the key tests

The recording upstream counts every request, and both nodes read its /health and /load each second, at any moment; a read that falls into the milliseconds of a refused case is taken for a run. Ruled out: a request sent on after its refusal. The reads are now searched for keys too. Conclusion: fault of the test, not of the product; as strict as before.

--- a/internal/e2e/keys_test.go
+++ b/internal/e2e/keys_test.go
@@ -13,19 +13,27 @@
 	"github.com/toucancove/toucancove/core/pass"
 )
 
-// seenRequests records all that an upstream can see of its requests.
+// seenRequests records all that an upstream can see of its requests. Nodes
+// read the health and load endpoints at any moment: these reads are kept apart,
+// so that none is taken for a run.
 type seenRequests struct {
 	mu       sync.Mutex
 	requests []string
+	polls    []string
 	last     http.Header
 }
 
 func (s *seenRequests) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	text := fmt.Sprintf("%s %s %s %v %v %s", r.Method, r.Host, r.RequestURI, r.Header, r.Trailer, body)
 	s.mu.Lock()
-	s.requests = append(s.requests, fmt.Sprintf("%s %s %s %v %v %s", r.Method, r.Host, r.RequestURI, r.Header, r.Trailer, body))
+	defer s.mu.Unlock()
+	if r.Method == http.MethodGet && (r.RequestURI == "/health" || r.RequestURI == "/load") {
+		s.polls = append(s.polls, text)
+		return
+	}
+	s.requests = append(s.requests, text)
 	s.last = r.Header
-	s.mu.Unlock()
 }
 
 // count returns the number of requests whose target contains part.
@@ -48,6 +56,13 @@
 	return strings.ToLower(strings.Join(s.requests[n:], "\n"))
 }
 
+// polled returns the text of the reads of health and load, in lower case.
+func (s *seenRequests) polled() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.ToLower(strings.Join(s.polls, "\n"))
+}
+
 func (s *seenRequests) lastHeader() http.Header {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,6 +130,9 @@
 			})
 		}
 	}
+	if polls := seen.polled(); strings.Contains(polls, hakata) || strings.Contains(polls, nagasaki) {
+		t.Errorf("a read of health or load shows a key: %s", polls)
+	}
 	for _, n := range f.nodes {
 		if output := n.output.String(); strings.Contains(output, hakata) || strings.Contains(output, nagasaki) {
 			t.Errorf("the log of %s shows a key", n.id)
