Let collectors of quota mint only for the nodes that draw from them

Cause: after a kill of all processes, and where parts of a fleet lose touch, nodes turn to different collectors, and each minted the whole rate. Nodes held a silent collector to be gone for 3 s each on their own; a pool that had stood idle was full. Ruled out: the first fill alone. Tests, each replaying the load in virtual time: 74 nodes killed together that come back over 1.2 s (large and small workspace), parts of 1 to 15 of 20 nodes away for 10 s, a collector silent for 2 s, a named collector probed, a pool that takes over twice. Nodes without requests now draw too, one empty message in 350 ms.

--- a/core/catalog/directory.go
+++ b/core/catalog/directory.go
@@ -57,6 +57,12 @@
 // Len returns the number of instances.
 func (d *Directory) Len() int { return len(d.instances) }
 
+// Instance returns the instance of that name, and false if none is listed.
+func (d *Directory) Instance(id member.InstanceID) (Instance, bool) {
+	instance, ok := d.instances[id]
+	return instance, ok
+}
+
 // Instances returns the instances in no particular order.
 func (d *Directory) Instances() []Instance {
 	list := make([]Instance, 0, len(d.instances))
--- a/core/usage/doc.go
+++ b/core/usage/doc.go
@@ -10,7 +10,9 @@
 //
 // The collector keeps nothing that must outlive it. While none answers, each node
 // mints for itself at its last share of the demand of the fleet; those shares add
-// up to one.
+// up to one. Nodes choose the collector each for itself (Election), so there may
+// be several for a while, or for long where parts of the fleet are not in touch:
+// each mints only for the part of the nodes that draw from it, and begins low.
 //
 // The load patterns it answers are a fleet whose workspaces send as much as they
 // may, spread unevenly over the nodes, which any fixed split refuses wrongly, and
--- /dev/null
+++ b/core/usage/election_test.go
@@ -0,0 +1,275 @@
+package usage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+)
+
+// cluster is a number of nodes that elect their collector, in virtual time.
+type cluster struct {
+	workspace catalog.Workspace
+	nodes     []*clusterNode
+	ids       []member.InstanceID
+	admitted  []time.Time
+	// collecting counts the draws that each instance answered with grants.
+	collecting map[member.InstanceID]int
+}
+
+type clusterNode struct {
+	id       member.InstanceID
+	upAt     time.Time
+	part     int // nodes of different parts are not in touch
+	limiter  *Limiter
+	election *Election
+	drawnAt  time.Time
+}
+
+func newCluster(nodes int, w catalog.Workspace) *cluster {
+	c := &cluster{workspace: w, collecting: make(map[member.InstanceID]int)}
+	for i := range nodes {
+		c.ids = append(c.ids, member.InstanceID(fmt.Sprintf("i-%d", i)))
+	}
+	c.nodes = make([]*clusterNode, nodes)
+	for i := range nodes {
+		c.restart(start, i)
+	}
+	return c
+}
+
+// restart begins a life of a node at a moment.
+func (c *cluster) restart(at time.Time, i int) {
+	n := &clusterNode{id: c.ids[i], upAt: at, limiter: NewLimiter(at, string(c.ids[i]), tolerance), election: NewElection(tolerance)}
+	n.limiter.Configure(at, []catalog.Workspace{c.workspace}, len(c.ids))
+	n.election.Pool().Configure(at, []catalog.Workspace{c.workspace}, len(c.ids))
+	n.election.Listed(at, c.ids, n.id)
+	c.nodes[i] = n
+}
+
+// first returns the index of the node that comes first in the election.
+func (c *cluster) first() int {
+	id, _ := member.First(c.ids, func(member.InstanceID) bool { return false })
+	for i := range c.ids {
+		if c.ids[i] == id {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *cluster) find(id member.InstanceID) *clusterNode {
+	for _, n := range c.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// draw asks an instance; it reports whether that answered with grants.
+func (c *cluster) draw(now time.Time, n *clusterNode, id member.InstanceID, draws []Draw) bool {
+	collector := c.find(id)
+	if now.Before(collector.upAt) || collector.part != n.part {
+		n.election.Lost(now, id)
+		return false
+	}
+	answer := collector.election.Answer(now, string(n.id), draws)
+	n.election.Heard(id)
+	if answer.Collector != "" {
+		n.election.Named(now, answer.Collector)
+		return false
+	}
+	c.collecting[id]++
+	n.limiter.Granted(now, answer.Grants)
+	return true
+}
+
+func (c *cluster) tick(now time.Time, n *clusterNode) {
+	if now.Before(n.upAt) || now.Sub(n.drawnAt) < 350*time.Millisecond {
+		return
+	}
+	n.drawnAt = now
+	if id, ok := n.election.Probe(now); ok {
+		c.draw(now, n, id, nil)
+	}
+	if id, ok := n.election.Collector(now); ok {
+		c.draw(now, n, id, n.limiter.Draws(now))
+	}
+}
+
+func (c *cluster) request(now time.Time, i int) bool {
+	n := c.nodes[i]
+	if now.Before(n.upAt) {
+		return false
+	}
+	for _, other := range c.nodes { // also nodes without requests draw
+		c.tick(now, other)
+	}
+	verdict, _ := n.limiter.Take(now, c.workspace.Name)
+	ok := verdict == Admitted
+	if verdict == Short {
+		if id, known := n.election.Collector(now); known && c.draw(now, n, id, []Draw{n.limiter.DrawFor(now, c.workspace.Name, 1)}) {
+			ok = n.limiter.Claim(c.workspace.Name)
+		} else {
+			ok = n.limiter.ClaimAlone(now, c.workspace.Name)
+		}
+	}
+	if ok {
+		c.admitted = append(c.admitted, now)
+	}
+	return ok
+}
+
+// All processes are killed while a workspace sends eight times its rate, and come
+// back over a second, the collector last, so that the others turn to another.
+func TestFleetThatComesBackByAndByStaysWithinTheTolerance(t *testing.T) {
+	const nodes, rate = 74, 458
+	for _, w := range []catalog.Workspace{{Name: "large", Rate: rate, Burst: rate}, {Name: "small", Rate: 8, Burst: 8}} {
+		for seed := range uint64(5) {
+			random := rand.New(rand.NewPCG(seed, 11))
+			c := newCluster(nodes, w)
+			killed := start.Add(10 * time.Second)
+			for now := start; now.Sub(start) < 20*time.Second; {
+				before := now
+				now = now.Add(time.Duration(random.ExpFloat64() / (w.Rate * 8) * float64(time.Second)))
+				if before.Before(killed) && !now.Before(killed) {
+					for i := range c.nodes {
+						c.restart(killed.Add(time.Duration(random.Float64()*float64(time.Second))), i)
+					}
+					c.restart(killed.Add(1200*time.Millisecond), c.first())
+				}
+				c.request(now, random.IntN(nodes))
+			}
+			most := (w.Rate*5+w.Burst)*1.25 + 20
+			fleet := fleet{admitted: c.admitted}
+			if worst := float64(fleet.worstWindow(tolerance.Window)); worst > most {
+				t.Errorf("%s, seed %d: %v admitted in 5 s, want at most %v", w.Name, seed, worst, most)
+			}
+		}
+	}
+}
+
+// Two parts of the fleet lose touch while a workspace sends eight times its rate
+// in both.
+func TestPartsOutOfTouchStayWithinTheTolerance(t *testing.T) {
+	const nodes, rate = 20, 60
+	for _, away := range []int{1, 5, 10, 15} {
+		w := catalog.Workspace{Name: "w", Rate: rate, Burst: rate}
+		random := rand.New(rand.NewPCG(uint64(away), 12))
+		c := newCluster(nodes, w)
+		for now := start; now.Sub(start) < 25*time.Second; {
+			now = now.Add(time.Duration(random.ExpFloat64() / (w.Rate * 8) * float64(time.Second)))
+			passed := now.Sub(start)
+			for i := range away {
+				c.nodes[i].part = 0
+				if passed > 8*time.Second && passed < 18*time.Second {
+					c.nodes[i].part = 1
+				}
+			}
+			c.request(now, random.IntN(nodes))
+		}
+		most := (w.Rate*5+w.Burst)*1.25 + 20
+		fleet := fleet{admitted: c.admitted}
+		if worst := float64(fleet.worstWindow(tolerance.Window)); worst > most {
+			t.Errorf("%d nodes away: %v admitted in 5 s, want at most %v", away, worst, most)
+		}
+	}
+}
+
+// The collector answers nobody for two seconds: another serves, and hands back.
+func TestCollectorServesAgainAfterSilence(t *testing.T) {
+	w := catalog.Workspace{Name: "w", Rate: 100, Burst: 100}
+	c := newCluster(10, w)
+	random := rand.New(rand.NewPCG(5, 5))
+	first := c.first()
+	gone, back := start.Add(5*time.Second), start.Add(7*time.Second)
+	refused, offered := 0, 0
+	for now := start; now.Sub(start) < 12*time.Second; {
+		now = now.Add(time.Duration(random.ExpFloat64() / (w.Rate * 0.8) * float64(time.Second)))
+		if now.After(gone) && c.nodes[first].upAt.Before(gone) {
+			c.restart(back, first)
+		}
+		if now.After(back) && now.Before(back.Add(time.Second)) {
+			c.collecting = make(map[member.InstanceID]int)
+		}
+		i := random.IntN(len(c.nodes))
+		if now.Before(c.nodes[i].upAt) {
+			continue
+		}
+		offered++
+		if !c.request(now, i) {
+			refused++
+		}
+	}
+	if len(c.collecting) != 1 || c.collecting[c.ids[first]] == 0 {
+		t.Errorf("a second after its return others than the first collect too: %v", c.collecting)
+	}
+	if share := float64(refused) / float64(offered); share > 0.005 {
+		t.Errorf("%.4f of %d requests inside the quota refused, want at most 0.005", share, offered)
+	}
+}
+
+// A node that is taken for the collector asks the one it names whether it is
+// there, and collects once that one is silent.
+func TestNamedCollectorIsProbed(t *testing.T) {
+	c := newCluster(3, catalog.Workspace{Name: "w", Rate: 10, Burst: 10})
+	first := c.ids[c.first()]
+	var second *clusterNode
+	for _, n := range c.nodes {
+		n.election.Lost(start, first)
+		if id, _ := n.election.Collector(start); id == n.id {
+			second = n
+		}
+		n.election.Heard(first)
+	}
+	now := start.Add(time.Second)
+	if _, ok := second.election.Probe(now); ok {
+		t.Error("probes before anyone asked")
+	}
+	if got := second.election.Answer(now, "x", nil); got.Collector != first {
+		t.Errorf("names %q, want %q", got.Collector, first)
+	}
+	if id, ok := second.election.Probe(now); !ok || id != first {
+		t.Errorf("probes %q %v, want %q", id, ok, first)
+	}
+	second.election.Lost(now, first)
+	got := second.election.Answer(now, "x", []Draw{{Workspace: "w", Wanted: 1000}})
+	if got.Collector != "" {
+		t.Fatalf("names %q although that is silent", got.Collector)
+	}
+	if tokens, most := got.Grants[0].Tokens, tolerance.firstFill(&c.workspace); tokens > most {
+		t.Errorf("%.1f tokens from a pool that takes over, want at most %.1f", tokens, most)
+	}
+	if id, ok := second.election.Probe(now); !ok || id != first {
+		t.Errorf("probes %q %v while it collects for %q", id, ok, first)
+	}
+	for range 20 { // it collects for a while, hands back, and takes over again
+		now = now.Add(350 * time.Millisecond)
+		second.election.Lost(now, first)
+		second.election.Answer(now, "x", nil)
+	}
+	second.election.Heard(first)
+	second.election.Answer(now, "x", nil)
+	second.election.Lost(now, first)
+	again := second.election.Answer(now, "x", []Draw{{Workspace: "w", Wanted: 1000}})
+	if tokens, most := again.Grants[0].Tokens, tolerance.firstFill(&c.workspace); tokens > most {
+		t.Errorf("%.1f tokens from a pool that takes over again, want at most %.1f", tokens, most)
+	}
+}
+
+// A pool that was idle while another minted begins low.
+func TestPoolBeginsLow(t *testing.T) {
+	w := catalog.Workspace{Name: "w", Rate: 100, Burst: 100}
+	p := NewPool(tolerance)
+	p.Configure(start, []catalog.Workspace{w}, 1)
+	now := start.Add(time.Minute)
+	p.Begin(now)
+	got := p.Draw(now, "x", []Draw{{Workspace: "w", Wanted: 1000}})[0].Tokens
+	if most := tolerance.room(&w) - tolerance.depth(&w); got > most {
+		t.Errorf("%.1f tokens at once, want at most the %.1f that the depth leaves", got, most)
+	}
+}
--- a/core/usage/limiter.go
+++ b/core/usage/limiter.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/toucancove/toucancove/core/catalog"
 )
 
@@ -70,6 +72,7 @@
 // Limiter admits requests of workspaces at one node. It is not safe for
 // concurrent use.
 type Limiter struct {
+	node      string
 	tolerance Tolerance
 	nodes     int
 	// heardAt is when a collector last answered.
@@ -81,6 +84,8 @@
 type lot struct {
 	workspace catalog.Workspace
 	tokens    float64
+	// chance lies between 0 and 1, evenly over the nodes.
+	chance float64
 	// credit is set while tokens may be spent before they are drawn.
 	credit bool
 	// emptyUntil is when the pool is expected to have a token again.
@@ -93,9 +98,9 @@
 	demandAt time.Time
 }
 
-// NewLimiter returns a limiter for a node of a fleet of unknown size.
-func NewLimiter(now time.Time, tolerance Tolerance) *Limiter {
-	return &Limiter{tolerance: tolerance, nodes: 1, heardAt: now, lots: make(map[string]*lot)}
+// NewLimiter returns the limiter of a named node in a fleet of unknown size.
+func NewLimiter(now time.Time, node string, tolerance Tolerance) *Limiter {
+	return &Limiter{node: node, tolerance: tolerance, nodes: 1, heardAt: now, lots: make(map[string]*lot)}
 }
 
 // SetTolerance replaces the tolerance.
@@ -110,7 +115,7 @@
 		w := &workspaces[i]
 		held := l.lots[w.Name]
 		if held == nil {
-			held = &lot{demandAt: now, mintedAt: now}
+			held = &lot{demandAt: now, mintedAt: now, chance: chance(l.node, w.Name)}
 		} else if w.Rate < held.workspace.Rate {
 			held.tokens = 0
 		}
@@ -131,7 +136,7 @@
 	if l.alone(now) {
 		held.mint(now, l.nodes)
 	}
-	if held.tokens >= 1 || (held.credit && held.tokens > -held.most()) {
+	if held.tokens >= 1 || (held.credit && held.tokens-1 >= -l.credit(held)) {
 		held.tokens--
 		return Admitted, 0
 	}
@@ -164,7 +169,7 @@
 		return true
 	}
 	held.mint(now, l.nodes)
-	if held.tokens <= -held.most() {
+	if held.tokens < 1 && held.tokens-1 < -l.credit(held) {
 		return false
 	}
 	held.tokens--
@@ -242,9 +247,22 @@
 	}
 }
 
-// most is how much may be spent on credit: the demand between two draws, with
-// room for its swings.
-func (h *lot) most() float64 { return leastCredit + 2*h.demand*lotTime.Seconds() }
+// credit returns how many tokens the node may spend before it draws them: what
+// it needs between two draws, with room for its swings, and no more than its part
+// of what the fleet may. Parts below one token are rounded by chance, which is
+// fixed for a node and a workspace, so that they add up over many nodes.
+func (l *Limiter) credit(held *lot) float64 {
+	share := 1 / float64(l.nodes)
+	if held.fleet > 0 {
+		share = min(held.demand/held.fleet, 1)
+	}
+	part := share * l.tolerance.credit(&held.workspace)
+	whole := math.Floor(part)
+	if part-whole > held.chance {
+		whole++
+	}
+	return min(whole, leastCredit+2*held.demand*lotTime.Seconds())
+}
 
 // alone reports whether no collector answers.
 func (l *Limiter) alone(now time.Time) bool { return now.Sub(l.heardAt) > silence }
@@ -260,6 +278,12 @@
 	h.tokens = min(h.tokens+share*h.workspace.Rate*passed.Seconds(), max(1, share*h.workspace.Burst))
 }
 
+// chance returns a number between 0 and 1 that is fixed for a node and a
+// workspace.
+func chance(node, workspace string) float64 {
+	return float64(xxhash.Sum64String(node+"\x00"+workspace)) / math.MaxUint64
+}
+
 func (h *lot) fade(now time.Time) {
 	passed := now.Sub(h.demandAt)
 	if passed <= 0 {
--- a/core/usage/pool.go
+++ b/core/usage/pool.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// reportLife is the age at which what a node reported counts as lost.
-	reportLife = 2 * time.Second
-	// firstFill is the part of the depth that a new pool begins with: an earlier
-	// one may just have spent the rest.
-	firstFill = 0.5
+	// reportLife is the age at which what a node reported counts as lost: three
+	// draws.
+	reportLife = 1100 * time.Millisecond
+	// countInterval is the time between counts of the nodes that draw.
+	countInterval = 100 * time.Millisecond
 	// creditLevel is the part of the depth that must be in the pool for nodes to
 	// spend before they draw: it covers what they spend until they hear
 	// otherwise.
@@ -25,6 +25,10 @@
 type Pool struct {
 	tolerance  Tolerance
 	workspaces map[string]*minting
+	// fleet is the number of listed nodes; reporters are those that draw here.
+	fleet     int
+	reporters map[string]time.Time
+	countedAt time.Time
 }
 
 // minting is the state of one workspace.
@@ -44,22 +48,24 @@
 
 // NewPool returns a pool that knows no workspace.
 func NewPool(tolerance Tolerance) *Pool {
-	return &Pool{tolerance: tolerance, workspaces: make(map[string]*minting)}
+	return &Pool{tolerance: tolerance, workspaces: make(map[string]*minting), fleet: 1, reporters: make(map[string]time.Time)}
 }
 
 // SetTolerance replaces the tolerance. Lower depths apply with the next mint.
 func (p *Pool) SetTolerance(t Tolerance) { p.tolerance = t }
 
-// Configure takes the published workspaces.
-func (p *Pool) Configure(now time.Time, workspaces []catalog.Workspace) {
+// Configure takes the published workspaces and the number of nodes.
+func (p *Pool) Configure(now time.Time, workspaces []catalog.Workspace, nodes int) {
+	p.fleet = max(nodes, 1)
 	next := make(map[string]*minting, len(workspaces))
 	for i := range workspaces {
 		w := &workspaces[i]
 		m := p.workspaces[w.Name]
 		if m == nil {
-			m = &minting{at: now, reports: make(map[string]report), tokens: firstFill * p.tolerance.depth(w)}
+			m = &minting{at: now, reports: make(map[string]report)}
+			m.tokens = p.tolerance.firstFill(w) * p.share()
 		}
-		m.refill(now, p.tolerance)
+		m.refill(now, p.tolerance, p.share())
 		m.workspace = *w
 		m.tokens = min(m.tokens, p.tolerance.depth(w))
 		next[w.Name] = m
@@ -67,21 +73,56 @@
 	p.workspaces = next
 }
 
-// Draw answers what a node asks.
+// Begin empties the pool: another minted until now. Each node that draws brings
+// its part of what a new pool begins with.
+func (p *Pool) Begin(now time.Time) {
+	p.reporters = make(map[string]time.Time)
+	for _, m := range p.workspaces {
+		m.at, m.tokens, m.reports = now, 0, make(map[string]report)
+	}
+}
+
+// Draw answers what a node asks. A draw of nothing tells that the node is there.
 func (p *Pool) Draw(now time.Time, node string, draws []Draw) []Grant {
+	p.count(now, node)
 	grants := make([]Grant, 0, len(draws))
 	for _, d := range draws {
 		m := p.workspaces[d.Workspace]
 		if m == nil {
 			continue // a newer configuration there; the node mints for itself
 		}
-		grants = append(grants, m.draw(now, node, d, p.tolerance))
+		grants = append(grants, m.draw(now, node, d, p.tolerance, p.share()))
 	}
 	return grants
 }
 
-func (m *minting) draw(now time.Time, node string, d Draw, t Tolerance) Grant {
-	m.refill(now, t)
+// count takes note of a node that draws, and of those that no longer do.
+func (p *Pool) count(now time.Time, node string) {
+	if now.Sub(p.countedAt) >= countInterval {
+		p.countedAt = now
+		for other, at := range p.reporters {
+			if now.Sub(at) > reportLife {
+				delete(p.reporters, other)
+			}
+		}
+	}
+	if _, known := p.reporters[node]; !known {
+		part := 1 / float64(p.fleet)
+		for _, m := range p.workspaces {
+			m.refill(now, p.tolerance, p.share())
+			m.tokens = min(m.tokens+part*p.tolerance.firstFill(&m.workspace), p.tolerance.depth(&m.workspace))
+		}
+	}
+	p.reporters[node] = now
+}
+
+// share returns the part of the fleet's nodes that draw from this pool.
+func (p *Pool) share() float64 {
+	return min(float64(len(p.reporters))/float64(p.fleet), 1)
+}
+
+func (m *minting) draw(now time.Time, node string, d Draw, t Tolerance, share float64) Grant {
+	m.refill(now, t, share)
 	grant := Grant{Workspace: d.Workspace}
 	if d.Wanted < 0 {
 		m.tokens -= d.Wanted
@@ -92,24 +133,25 @@
 	}
 	if grant.Tokens < d.Wanted && grant.Tokens+d.Held < 1 {
 		missing := 1 - m.tokens
-		wait := time.Duration(missing / t.rate(&m.workspace) * float64(time.Second))
+		wait := time.Duration(missing / (share * t.rate(&m.workspace)) * float64(time.Second))
 		grant.RetryAfter = max(wait, leastRetryAfter)
 	}
 	grant.Credit = m.tokens > creditLevel*t.depth(&m.workspace)
 	m.reports[node] = report{at: now, held: d.Held + grant.Tokens + min(d.Wanted, 0), demand: d.Demand}
-	grant.Demand = m.demand()
+	grant.Demand = m.demand() / share // the others draw elsewhere
 	return grant
 }
 
-// refill mints what is due. Tokens that nodes hold count against the depth.
-func (m *minting) refill(now time.Time, t Tolerance) {
+// refill mints a share of what is due. Tokens that nodes hold count against the
+// depth.
+func (m *minting) refill(now time.Time, t Tolerance, share float64) {
 	passed := max(now.Sub(m.at), 0)
 	m.at = now
 	if !m.workspace.Limited() {
 		return
 	}
 	most := max(t.depth(&m.workspace)-m.held(now), 0)
-	m.tokens = max(min(m.tokens+t.rate(&m.workspace)*passed.Seconds(), most), min(m.tokens, 0))
+	m.tokens = max(min(m.tokens+share*t.rate(&m.workspace)*passed.Seconds(), most), min(m.tokens, 0))
 }
 
 func (m *minting) held(now time.Time) float64 {
--- a/core/usage/tolerance.go
+++ b/core/usage/tolerance.go
@@ -9,10 +9,13 @@
 const (
 	// usedRatio is the part of the tolerated ratio by which the rate is raised:
 	// a request is refused wrongly when tokens lie elsewhere for a moment.
-	usedRatio = 0.8
-	// usedTotal is the part of what may be admitted in a window that rate and
-	// depth use together. The rest covers a change of the collector.
-	usedTotal = 0.92
+	usedRatio = 0.6
+	// depthPart is the part of what the raised rate leaves of a window's total
+	// that may be admitted at once. The rest covers a change of the collector.
+	depthPart = 0.6
+	// leastFill is what a new pool has in requests, also where nothing above the
+	// quota is tolerated: a slow workspace would wait long for its first request.
+	leastFill = 2
 )
 
 // Tolerance is what may be admitted above the exact quota in any window.
@@ -28,10 +31,31 @@
 // rate returns the rate at which the fleet admits requests.
 func (t Tolerance) rate(w *catalog.Workspace) float64 { return w.Rate * (1 + usedRatio*t.Ratio) }
 
-// depth returns the requests that the fleet may admit at once: the burst, and
-// what the rate leaves of the tolerance.
-func (t Tolerance) depth(w *catalog.Workspace) float64 {
+// room returns the requests that fit into a window beside the rate.
+func (t Tolerance) room(w *catalog.Workspace) float64 {
 	window := t.Window.Seconds()
-	most := (1+t.Ratio)*(w.Rate*window+w.Burst) + t.Requests
-	return max(usedTotal*most-t.rate(w)*window, min(w.Burst, most-t.rate(w)*window))
+	return (1+t.Ratio)*(w.Rate*window+w.Burst) + t.Requests - t.rate(w)*window
 }
+
+// depth returns the requests that the fleet may admit at once: the burst at
+// least, as far as the tolerance has room for it.
+func (t Tolerance) depth(w *catalog.Workspace) float64 {
+	room := t.room(w)
+	return max(depthPart*room, min(w.Burst, room))
+}
+
+// firstFill returns the tokens that a new pool begins with: an earlier one may
+// have spent all of the depth just before.
+func (t Tolerance) firstFill(w *catalog.Workspace) float64 {
+	return max(t.spare(w)/2, min(w.Burst, leastFill))
+}
+
+// spare returns the requests that fit into a window beside the rate and the depth.
+func (t Tolerance) spare(w *catalog.Workspace) float64 {
+	return min(t.room(w)-t.depth(w), t.depth(w))
+}
+
+// credit returns the tokens that all nodes together may spend before they draw
+// them. With the first fill of a new pool it takes no more than what the depth
+// leaves.
+func (t Tolerance) credit(w *catalog.Workspace) float64 { return t.spare(w) / 2 }
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -26,9 +26,9 @@
 
 func newFleet(nodes int, w catalog.Workspace) *fleet {
 	f := &fleet{pool: NewPool(tolerance), drawnAt: make([]time.Time, nodes), connected: true}
-	f.pool.Configure(start, []catalog.Workspace{w})
-	for range nodes {
-		l := NewLimiter(start, tolerance)
+	f.pool.Configure(start, []catalog.Workspace{w}, nodes)
+	for node := range nodes {
+		l := NewLimiter(start, fmt.Sprint(node), tolerance)
 		l.Configure(start, []catalog.Workspace{w}, nodes)
 		f.limiters = append(f.limiters, l)
 	}
@@ -38,9 +38,11 @@
 // request offers one request and draws as a node does.
 func (f *fleet) request(now time.Time, node int, workspace string) bool {
 	l := f.limiters[node]
-	if now.Sub(f.drawnAt[node]) > 250*time.Millisecond {
-		f.drawnAt[node] = now
-		f.draw(now, node, l.Draws(now))
+	for other, at := range f.drawnAt { // also nodes without requests draw
+		if now.Sub(at) > 250*time.Millisecond {
+			f.drawnAt[other] = now
+			f.draw(now, other, f.limiters[other].Draws(now))
+		}
 	}
 	verdict, _ := l.Take(now, workspace)
 	ok := verdict == Admitted
@@ -150,7 +152,7 @@
 		f.connected = passed < 10*time.Second || passed > 12*time.Second
 		if f.connected && !wasConnected {
 			f.pool = NewPool(tolerance)
-			f.pool.Configure(now, []catalog.Workspace{w})
+			f.pool.Configure(now, []catalog.Workspace{w}, len(f.limiters))
 		}
 		if f.request(now, random.IntN(18), "w") && !f.connected {
 			alone++
@@ -197,7 +199,7 @@
 			f = newFleet(nodes, w)
 			f.admitted = admitted
 			f.pool = NewPool(tolerance)
-			f.pool.Configure(now, []catalog.Workspace{w})
+			f.pool.Configure(now, []catalog.Workspace{w}, len(f.limiters))
 		}
 		node := random.IntN(nodes)
 		if f.request(now, node, "w") {
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -20,11 +20,12 @@
 	// askTimeout bounds the wait of a request for a token. A collector answers
 	// within a few milliseconds.
 	askTimeout = 60 * time.Millisecond
+	// probeTimeout bounds the question whether an instance's node is there. It
+	// comes before a draw in the same turn.
+	probeTimeout = drawInterval / 2
 	// maxAsks bounds the questions that one request waits for: it may join one
 	// that was sent before it came.
 	maxAsks = 3
-	// silentFor is how long a collector that did not answer is passed over.
-	silentFor = 3 * time.Second
 )
 
 // quota holds workspaces to their quota together with the other nodes. It is
@@ -38,11 +39,10 @@
 	controlAddress func(catalog.Instance) string
 	log            logr.Logger
 
-	mu      sync.Mutex
-	limiter *usage.Limiter
-	pool    *usage.Pool
-	silent  map[member.InstanceID]time.Time
-	asks    map[string]*ask
+	mu       sync.Mutex
+	limiter  *usage.Limiter
+	election *usage.Election
+	asks     map[string]*ask
 	// joined counts the requests that came after a question of their
 	// workspace was sent; the next one asks for them too.
 	joined map[string]int
@@ -55,8 +55,8 @@
 
 func newQuota(node string, tolerance usage.Tolerance) *quota {
 	return &quota{
-		node: node, limiter: usage.NewLimiter(time.Now(), tolerance), pool: usage.NewPool(tolerance),
-		silent: make(map[member.InstanceID]time.Time), asks: make(map[string]*ask), joined: make(map[string]int),
+		node: node, limiter: usage.NewLimiter(time.Now(), node, tolerance), election: usage.NewElection(tolerance),
+		asks: make(map[string]*ask), joined: make(map[string]int),
 	}
 }
 
@@ -117,7 +117,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.limiter.SetTolerance(t)
-	q.pool.SetTolerance(t)
+	q.election.Pool().SetTolerance(t)
 }
 
 // giveBack returns what a request took that did not run.
@@ -146,10 +146,30 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.limiter.Configure(now, state.Catalog.Workspaces(), nodes)
-	q.pool.Configure(now, state.Catalog.Workspaces())
+	q.election.Pool().Configure(now, state.Catalog.Workspaces(), nodes)
+	if state.Directory != nil {
+		ids, own := q.candidates(state.Directory)
+		q.election.Listed(now, ids, own)
+	}
+}
+
+// candidates returns the instances whose nodes may collect, and the own one among
+// them.
+func (q *quota) candidates(directory *catalog.Directory) (ids []member.InstanceID, own member.InstanceID) {
+	for _, instance := range directory.Instances() {
+		if instance.Draining {
+			continue
+		}
+		ids = append(ids, instance.ID)
+		if q.controlAddress(instance) == "" {
+			own = instance.ID
+		}
+	}
+	return ids, own
 }
 
-// run draws lots until ctx ends.
+// run draws lots until ctx ends. A draw of nothing tells the collector that this
+// node is there.
 func (q *quota) run(ctx context.Context) {
 	ticker := time.NewTicker(drawInterval)
 	defer ticker.Stop()
@@ -158,84 +178,89 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			q.probe(ctx, now)
 			q.mu.Lock()
 			draws := q.limiter.Draws(now)
 			q.mu.Unlock()
-			if len(draws) == 0 {
-				continue
-			}
 			bounded, cancel := context.WithTimeout(ctx, controlTimeout)
 			if collector, err := q.draw(bounded, draws); err != nil {
-				q.lost(now, collector, err)
+				q.lost(collector, err)
 			}
 			cancel()
 		}
 	}
 }
 
+// probe asks the instance whose silence decides whether this node collects.
+func (q *quota) probe(ctx context.Context, now time.Time) {
+	q.mu.Lock()
+	id, ok := q.election.Probe(now)
+	q.mu.Unlock()
+	if !ok {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if err := q.drawFrom(bounded, id, nil); err != nil {
+		q.lost(id, err)
+	}
+}
+
 // draw asks the collector, which it returns, and takes what it grants.
 func (q *quota) draw(ctx context.Context, draws []usage.Draw) (member.InstanceID, error) {
-	collector, address, ok := q.collectorOf(time.Now())
+	q.mu.Lock()
+	collector, ok := q.election.Collector(time.Now())
+	q.mu.Unlock()
 	if !ok {
 		return "", nil // no instance is known yet
 	}
+	return collector, q.drawFrom(ctx, collector, draws)
+}
+
+func (q *quota) drawFrom(ctx context.Context, id member.InstanceID, draws []usage.Draw) error {
+	directory := q.state().Directory
+	if directory == nil {
+		return nil
+	}
+	instance, ok := directory.Instance(id)
+	if !ok {
+		return nil // it has just left the list
+	}
 	message := &meshpb.DrawRequest{Node: q.node, Draws: drawMessages(draws)}
 	answer := &meshpb.DrawReply{}
-	if address == "" {
+	if address := q.controlAddress(instance); address == "" {
 		answer = q.answer(message)
 	} else {
 		var err error
 		if answer, err = q.clients.client(address).DrawTokens(ctx, message); err != nil {
-			return collector, err
+			return err
 		}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.election.Heard(id)
+	if answer.Collector != "" {
+		q.election.Named(time.Now(), member.InstanceID(answer.Collector))
+		return nil
+	}
 	q.limiter.Granted(time.Now(), grantsFrom(answer.Grants))
-	return collector, nil
+	return nil
 }
 
-func (q *quota) lost(now time.Time, collector member.InstanceID, err error) {
+func (q *quota) lost(collector member.InstanceID, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if now.Sub(q.silent[collector]) > silentFor {
+	if q.election.Lost(time.Now(), collector) {
 		q.log.Info("collector of quota lost", "collector", collector, "reason", err.Error())
 	}
-	q.silent[collector] = now
-}
-
-// collectorOf chooses the collector and returns its control address, empty for
-// the own node.
-func (q *quota) collectorOf(now time.Time) (member.InstanceID, string, bool) {
-	directory := q.state().Directory
-	if directory == nil {
-		return "", "", false
-	}
-	byID := make(map[member.InstanceID]catalog.Instance)
-	var ids []member.InstanceID
-	for _, instance := range directory.Instances() {
-		if !instance.Draining {
-			byID[instance.ID] = instance
-			ids = append(ids, instance.ID)
-		}
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	collector, ok := member.First(ids, func(id member.InstanceID) bool {
-		at, failed := q.silent[id]
-		return failed && now.Sub(at) < silentFor
-	})
-	if !ok {
-		return "", "", false
-	}
-	return collector, q.controlAddress(byID[collector]), true
 }
 
-// answer serves a draw as collector.
+// answer serves a draw as collector, or names the one to ask.
 func (q *quota) answer(in *meshpb.DrawRequest) *meshpb.DrawReply {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return &meshpb.DrawReply{Grants: grantMessages(q.pool.Draw(time.Now(), in.Node, drawsFrom(in.Draws)))}
+	answer := q.election.Answer(time.Now(), in.Node, drawsFrom(in.Draws))
+	return &meshpb.DrawReply{Grants: grantMessages(answer.Grants), Collector: string(answer.Collector)}
 }
 
 func drawMessages(draws []usage.Draw) []*meshpb.Draw {
