Say that nothing ran while the caller still listens; name listed instances in logs

The guard let a call wait until the deadline, the moment at which its entry gives up, so that the refusal came too late to be told; it also kept calls waiting that could no longer end in time. A call now leaves the queue when half of its route's usual run no longer fits, and 20 ms before its deadline at the latest.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -205,12 +205,27 @@
 func (f *Follower) applyChanges(now time.Time, c Changes) {
 	f.applyConfiguration(now, c.Configuration, sourceStore)
 	for _, change := range c.Instances {
-		f.cfg.Log.Info("list of instances changed", "id", change.ID, "revision", change.Revision,
-			"listed", change.Instance != nil, "draining", change.Instance != nil && change.Instance.Draining)
+		f.logChange(change)
 	}
 	f.publish(f.State().withChanges(now, c.Revision, c.Instances, f.keepRemoved(now)))
 }
 
+// logChange logs a change of the list; that of a removal shows what was listed.
+func (f *Follower) logChange(change catalog.Change) {
+	instance := change.Instance
+	if directory := f.State().Directory; instance == nil && directory != nil {
+		if listed, ok := directory.Instance(change.ID); ok {
+			instance = &listed
+		}
+	}
+	if instance == nil {
+		instance = &catalog.Instance{}
+	}
+	f.cfg.Log.Info("list of instances changed", "id", change.ID, "revision", change.Revision,
+		"listed", change.Instance != nil, "draining", instance.Draining, "service", instance.Service,
+		"address", instance.Address, "zone", instance.Zone)
+}
+
 func (f *Follower) applyConfiguration(now time.Time, raw []byte, source string) {
 	if len(raw) == 0 {
 		return
--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -22,6 +22,11 @@
 	// callWait bounds the queue time of a call for a running request, whose
 	// work so far would be lost. Its deadline comes first as a rule.
 	callWait = 2 * time.Second
+	// lastWord is the part of a request's time in which the guard no longer lets
+	// it wait: its refusal, which says that nothing ran, reaches the entry before
+	// the entry gives up. Two ways between zones of a region and some waiting for
+	// a processor take this long.
+	lastWord = 20 * time.Millisecond
 	// expectedShare is the part of the usual run time that must be left for a
 	// request to be started.
 	expectedShare = 0.5
@@ -133,12 +138,13 @@
 
 // acquire waits for a slot.
 func (g *guard) acquire(ctx context.Context, c guardCall) slots.Verdict {
-	id, verdict, start := g.offer(c)
+	expected := g.expected(c.route)
+	id, verdict, start := g.offer(c, expected)
 	if verdict != slots.Wait {
 		return verdict
 	}
-	limit := min(time.Until(c.deadline), maxWait(c.info))
-	timer := time.NewTimer(limit)
+	// Once it can't be run in time, its answer is due.
+	timer := time.NewTimer(min(time.Until(c.deadline)-max(lastWord, expected), maxWait(c.info)))
 	defer timer.Stop()
 	select {
 	case verdict := <-start:
@@ -168,13 +174,21 @@
 	return rootWait
 }
 
-func (g *guard) offer(c guardCall) (slots.ID, slots.Verdict, chan slots.Verdict) {
+// expected returns the time that a run of the route takes at the least, as a
+// rule.
+func (g *guard) expected(route string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Duration(expectedShare * float64(g.usual[route]))
+}
+
+func (g *guard) offer(c guardCall, expected time.Duration) (slots.ID, slots.Verdict, chan slots.Verdict) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastID++
 	verdict := g.queue.Offer(time.Now(), slots.Request{
 		ID: g.lastID, Rank: c.info.Rank, Invested: c.info.Invested, Deadline: c.deadline,
-		Expected: time.Duration(expectedShare * float64(g.usual[c.route])), MaxWait: maxWait(c.info),
+		Expected: expected, MaxWait: maxWait(c.info),
 	})
 	if verdict != slots.Wait {
 		return g.lastID, verdict, nil
