Give up failing instances also when they are the most of a service

Of four instances of which three reject 70 in 100, none ever does, although the policy of chains lets one of four carry the rest. Now it is compared with the best of the others, as many as would stay.

--- a/core/routing/evidence.go
+++ b/core/routing/evidence.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// connectWeight is the weight of a failed connect in an instance's failure
@@ -137,8 +140,9 @@
 	t.release()
 }
 
-// standsOut reports whether an instance fails more than the others do. When the
-// whole service fails, perhaps for another below it, none stands out.
+// standsOut reports whether an instance fails more than those that would carry
+// the load without it. When the whole service fails, perhaps for another below
+// it, none stands out.
 func (t *Table) standsOut(i *instance) bool {
 	return i.unconnected || i.failure >= 2*t.othersFailure(i)
 }
@@ -197,18 +201,25 @@
 	return retryable || !now.Before(due.Add(lateProbe*wait))
 }
 
-// othersFailure returns the mean failure share of the other instances.
+// othersFailure returns the mean failure share of the best other instances: as
+// many as stay when the most are ejected that may be.
 func (t *Table) othersFailure(except *instance) float64 {
-	if len(t.instances) < 2 {
-		return 0
-	}
-	var sum float64
+	failures := make([]float64, 0, len(t.instances))
 	for _, i := range t.instances {
 		if i != except {
-			sum += i.failure
+			failures = append(failures, i.failure)
 		}
 	}
-	return sum / float64(len(t.instances)-1)
+	if len(failures) == 0 {
+		return 0
+	}
+	slices.Sort(failures)
+	staying := min(max(len(t.instances)-t.maxEjected(), 1), len(failures))
+	var sum float64
+	for _, failure := range failures[:staying] {
+		sum += failure
+	}
+	return sum / float64(staying)
 }
 
 func (t *Table) ejected() int {
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -409,3 +409,35 @@
 		}
 	}
 }
+
+// Three of four instances reject 70 of 100 requests although they say that they
+// are well; the fourth rejects none and can carry the calls of the chain.
+func TestMostInstancesFailingLeaveTheGoodOne(t *testing.T) {
+	table := NewTableWith("a", ChainPolicy)
+	table.Update(start, fleet(4, "a"))
+	random := rand.New(rand.NewPCG(1, 5))
+	const length, settled = 6 * time.Second, 2 * time.Second
+	failed, sent := 0, 0
+	for at := time.Duration(0); at < length; at += 5 * time.Millisecond {
+		now := start.Add(at)
+		c, err := table.Pick(now, random.Uint64(), Request{Retryable: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := Outcome{Result: Completed, Latency: 30 * time.Millisecond}
+		if c.ID != "i3" && random.Float64() < 0.7 {
+			o = Outcome{Result: Failed, Latency: time.Millisecond}
+		}
+		table.Finish(now, c, o)
+		if at < settled {
+			continue
+		}
+		sent++
+		if o.Result == Failed {
+			failed++
+		}
+	}
+	if share := float64(failed) / float64(sent); share > 0.1 {
+		t.Errorf("%.2f of %d requests failed once the failing instances were known, want at most 0.1", share, sent)
+	}
+}
