Show what a node of a mesh believes, with its age

The metrics listener answers /status with versions, guard, gates, instances, collector and quota. TestStatusShowsBeliefsWithTheirAge also looks for keys.

--- a/cmd/toucancove/main.go
+++ b/cmd/toucancove/main.go
@@ -33,7 +33,7 @@
 	checkFile := checkCmd.Arg("file", "The value.").Required().String()
 
 	statusCmd := app.Command("status", "Show a running node's view of itself.")
-	statusAddress := statusCmd.Flag("operator", "Operator listener of the node as IP:port.").Required().String()
+	statusAddress := statusCmd.Flag("operator", "Operator listener of the node, or metrics listener of a node of a mesh, as IP:port.").Required().String()
 
 	keysCmd := app.Command("keys", "Work with workspace keys.")
 	digestCmd := keysCmd.Command("digest", "Read a key from standard input and print its digest.")
--- a/core/usage/limiter.go
+++ b/core/usage/limiter.go
@@ -301,14 +301,15 @@
 // Status describes the quota of one workspace at a node, for a log line.
 type Status struct {
 	// Rate is the quota of the fleet in requests per second.
-	Rate float64
+	Rate float64 `json:"rate"`
 	// Tokens is the lot of this node.
-	Tokens float64
+	Tokens float64 `json:"tokens"`
 	// Demand and Fleet are the demands at this node and at all nodes, in
 	// requests per second.
-	Demand, Fleet float64
+	Demand float64 `json:"demand"`
+	Fleet  float64 `json:"fleetDemand"`
 	// Age is the time since a collector answered.
-	Age time.Duration
+	Age time.Duration `json:"ageNs"`
 }
 
 // Status returns what decides about requests of the workspace.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -314,7 +314,12 @@
 	}
 }
 
+// handleMetrics serves counters and histograms, and the status at its path.
 func (n *Node) handleMetrics(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == statusPath {
+		n.handleStatus(ctx)
+		return
+	}
 	ctx.SetContentType("text/plain")
 	metrics.WriteOnce(n.metrics.Registry(), ctx)
 }
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -49,6 +51,42 @@
 	}
 }
 
+func TestStatusShowsBeliefsWithTheirAge(t *testing.T) {
+	r, _ := startRig(t, ok, ok)
+	for i := range 20 {
+		r.send(0, "/safe/x", fmt.Sprint(i), nil)
+	}
+	response, err := r.get("http://" + r.at(0, metricsPort) + "/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got struct {
+		Status
+		Services []struct {
+			Instances []struct{ ID string } `json:"instances"`
+		} `json:"services"`
+	}
+	if err := json.Unmarshal(body, &got); err != nil {
+		t.Fatalf("%v in %s", err, body)
+	}
+	if got.Node != "node-0" || !got.Ready || got.Version != 1 || got.VersionAge <= 0 || got.RevisionAge <= 0 || got.Collector == "" {
+		t.Errorf("status %+v lacks what the node believes", got)
+	}
+	if len(got.Services) != 1 || len(got.Services[0].Instances) != 2 || len(got.Gates) != 1 || len(got.Workspaces) != 2 {
+		t.Errorf("status %+v lacks instances, gates or workspaces", got)
+	}
+	for _, key := range []string{"big-key", "small-key"} {
+		if strings.Contains(string(body), key) {
+			t.Errorf("status shows key %s", key)
+		}
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	r, servers := startRig(t, ok)
 	small := func(q *http.Request) { q.Header.Set(testHeaders.Key, "small-key") }
--- /dev/null
+++ b/mesh/status.go
@@ -0,0 +1,158 @@
+package mesh
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+	"github.com/toucancove/toucancove/core/routing"
+	"github.com/toucancove/toucancove/core/usage"
+)
+
+// statusPath is where the metrics listener shows the status.
+const statusPath = "/status"
+
+// Status is what a node believes and how old that is, for operators. Times are in
+// nanoseconds. It shows no key.
+type Status struct {
+	Node    string `json:"node"`
+	Service string `json:"service"`
+	Ready   bool   `json:"ready"`
+	Leaving bool   `json:"leaving"`
+
+	Version          catalog.Version  `json:"version"`
+	VersionAge       time.Duration    `json:"versionAgeNs"`
+	Revision         catalog.Revision `json:"revision"`
+	RevisionAge      time.Duration    `json:"revisionAgeNs"`
+	RemovalsHeldBack bool             `json:"removalsHeldBack"`
+
+	Guard      GuardStatus       `json:"guard"`
+	Gates      []GateStatus      `json:"gates"`
+	Services   []ServiceStatus   `json:"services"`
+	Collector  member.InstanceID `json:"collector"`
+	Workspaces []QuotaStatus     `json:"workspaces"`
+}
+
+// GuardStatus describes the guard of the own instance.
+type GuardStatus struct {
+	Running  int     `json:"running"`
+	Waiting  int     `json:"waiting"`
+	Pressure float64 `json:"pressure"`
+}
+
+// GateStatus describes the admission of new requests of a route and rank.
+type GateStatus struct {
+	Route       string        `json:"route"`
+	Service     string        `json:"service"`
+	Rank        catalog.Rank  `json:"rank"`
+	Share       float64       `json:"share"`
+	Pressure    float64       `json:"pressure"`
+	PressureAge time.Duration `json:"pressureAgeNs"`
+}
+
+// ServiceStatus describes the instances of a service.
+type ServiceStatus struct {
+	Service   string           `json:"service"`
+	Instances []routing.Status `json:"instances"`
+}
+
+// QuotaStatus describes the quota of a workspace.
+type QuotaStatus struct {
+	Workspace string `json:"workspace"`
+	usage.Status
+}
+
+// Status returns what the node believes now.
+func (n *Node) Status(now time.Time) Status {
+	state := n.follower.State()
+	s := Status{
+		Node: n.cfg.Node, Service: n.cfg.Service, Ready: n.Ready(), Leaving: n.leaving.Load(),
+		Version: state.Version(), Revision: state.Revision(),
+		Guard: n.guard.status(now), Gates: n.gates.statuses(now), Services: n.routes.statuses(now),
+	}
+	if state.Catalog != nil {
+		s.VersionAge = now.Sub(state.CatalogAt)
+		s.Workspaces = n.quota.statuses(now, state.Catalog.Workspaces())
+	}
+	if state.Directory != nil {
+		s.RevisionAge = now.Sub(state.DirectoryAt)
+		s.RemovalsHeldBack = state.Directory.Holding()
+	}
+	s.Collector = n.quota.collector(now)
+	return s
+}
+
+// handleStatus answers with the status as JSON.
+func (n *Node) handleStatus(ctx *fasthttp.RequestCtx) {
+	body, err := json.MarshalIndent(n.Status(time.Now()), "", "  ")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
+
+func (g *guard) status(now time.Time) GuardStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return GuardStatus{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Pressure: g.queue.Pressure(now)}
+}
+
+func (g *gates) statuses(now time.Time) []GateStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]GateStatus, 0, len(g.byKey))
+	for key, gate := range g.byKey {
+		pressure, age := gate.Pressure(now)
+		list = append(list, GateStatus{
+			Route: key.route, Service: key.service, Rank: key.rank,
+			Share: gate.Share(), Pressure: pressure, PressureAge: age,
+		})
+	}
+	slices.SortFunc(list, func(a, b GateStatus) int {
+		if byRoute := strings.Compare(a.Route+" "+a.Service, b.Route+" "+b.Service); byRoute != 0 {
+			return byRoute
+		}
+		return int(a.Rank - b.Rank)
+	})
+	return list
+}
+
+func (s *routes) statuses(now time.Time) []ServiceStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]ServiceStatus, 0, len(s.services))
+	for name, t := range s.services {
+		t.mu.Lock()
+		list = append(list, ServiceStatus{Service: name, Instances: t.table.Statuses(now)})
+		t.mu.Unlock()
+	}
+	slices.SortFunc(list, func(a, b ServiceStatus) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
+
+func (q *quota) statuses(now time.Time, workspaces []catalog.Workspace) []QuotaStatus {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := make([]QuotaStatus, 0, len(workspaces))
+	for i := range workspaces {
+		name := workspaces[i].Name
+		list = append(list, QuotaStatus{Workspace: name, Status: q.limiter.Status(now, name)})
+	}
+	return list
+}
+
+// collector returns the instance whose node mints the quota, as far as this one
+// knows; empty if it knows none.
+func (q *quota) collector(now time.Time) member.InstanceID {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	id, _ := q.election.Collector(now)
+	return id
+}
