Lend buffers only to connections with a request on them

Cause: 103 MB on the largest of 83 nodes (target 64 MB). A node holds up to 4,885 descriptors there; each kept connection to a peer held two buffers of 8 KB and each accepted one 20 KB, most of them idle. Conclusion: a part of it; the rest is not traced.

--- a/mesh/link.go
+++ b/mesh/link.go
@@ -89,6 +89,15 @@
 	epoch int
 }
 
+// linkReaders and linkWriters lend buffers to connections with a request on them:
+// a node keeps many more that are idle.
+var (
+	linkReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, linkBuffer) }}
+	linkWriters = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, linkBuffer) }}
+)
+
+// linkConn is a connection to an instance or to its guard. It has buffers only
+// while a request is on it.
 type linkConn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -99,6 +108,22 @@
 	epoch int
 }
 
+func (c *linkConn) takeBuffers() {
+	c.reader = linkReaders.Get().(*bufio.Reader)
+	c.reader.Reset(c.Conn)
+	c.writer = linkWriters.Get().(*bufio.Writer)
+	c.writer.Reset(c.Conn)
+}
+
+// giveBuffers gives the buffers back; nothing may be in them.
+func (c *linkConn) giveBuffers() {
+	c.reader.Reset(nil)
+	linkReaders.Put(c.reader)
+	c.writer.Reset(nil)
+	linkWriters.Put(c.writer)
+	c.reader, c.writer = nil, nil
+}
+
 func newLink(address, requestID string) *link { return &link{address: address, requestID: requestID} }
 
 // exchangeOptions say how one request is sent.
@@ -140,6 +165,7 @@
 			return l.dial(ctx, o.deadline)
 		}
 		if now.Sub(conn.idleAt) < conn.keep && sockets.IsQuiet(conn.Conn) {
+			conn.takeBuffers()
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -174,15 +200,15 @@
 	l.mu.Lock()
 	epoch := l.epoch
 	l.mu.Unlock()
-	return &linkConn{
-		Conn: conn, keep: defaultIdle, epoch: epoch,
-		reader: bufio.NewReaderSize(conn, linkBuffer), writer: bufio.NewWriterSize(conn, linkBuffer),
-	}, nil
+	fresh := &linkConn{Conn: conn, keep: defaultIdle, epoch: epoch}
+	fresh.takeBuffers()
+	return fresh, nil
 }
 
 // keepIdle takes back a connection on which nothing is due.
 func (l *link) keepIdle(conn *linkConn) {
 	conn.idleAt = time.Now()
+	conn.giveBuffers()
 	l.mu.Lock()
 	kept := conn.epoch == l.epoch && len(l.idle) < maxIdleConns
 	if kept {
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -232,6 +232,7 @@
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
 		KeepHijackedConns:            false,
+		ReduceMemoryUsage:            true, // most connections are idle
 		ReadBufferSize:               limits.headerBytes,
 		MaxRequestBodySize:           limits.bodyBytes,
 		Concurrency:                  limits.connections,
