Mint for a node in one place at a time when collectors change

Six of 16 nodes are cut off from the collector, which then leaves, while a workspace turns hot. A node that changed its collector was counted at the old one for 1.1 s more while the new one minted for it, a node without an answer minted for itself from 0.7 s, or at once when a request waited, and each return to a pool brought a part of the first fill again. Now a pool mints for a node until 0.9 s after its last draw, the node for itself from then, and another pool from then too, unless the old collector's process has ended or handed the node over. A node brings its part of the fill once to a pool. A change of the collector is logged.

--- a/core/usage/election.go
+++ b/core/usage/election.go
@@ -32,6 +32,12 @@
 	// asked is set when another node took this one for the collector and it
 	// did not agree.
 	asked bool
+	// drewFrom is the collector that answered last, at drewAt; beforeAt is when
+	// another one did that may have minted on. Both begin with the zero time.
+	drewFrom         member.InstanceID
+	drewAt, beforeAt time.Time
+	// released is set once that collector is known to mint no longer.
+	released bool
 }
 
 // Answer is what a node says to a draw.
@@ -63,8 +69,9 @@
 }
 
 // Lost takes note that an instance's node did not answer and reports whether that
-// is news.
-func (e *Election) Lost(now time.Time, id member.InstanceID) bool {
+// is news. ended is set if its process is known to have ended.
+func (e *Election) Lost(now time.Time, id member.InstanceID, ended bool) bool {
+	e.released = e.released || (ended && id == e.drewFrom)
 	news := !e.isSilent(now, id)
 	e.silent[id] = now
 	return news
@@ -73,8 +80,37 @@
 // Heard takes note that an instance's node answered.
 func (e *Election) Heard(id member.InstanceID) { delete(e.silent, id) }
 
-// Named takes note that another node takes an instance for the collector.
-func (e *Election) Named(now time.Time, id member.InstanceID) {
+// Drew takes note that an instance's node answered a draw with grants, and reports
+// whether it is another one than before.
+func (e *Election) Drew(now time.Time, id member.InstanceID) bool {
+	news := id != e.drewFrom
+	if news {
+		e.beforeAt = e.drewAt
+		if e.released {
+			e.beforeAt = time.Time{}
+		}
+	}
+	e.drewFrom, e.drewAt, e.released = id, now, false
+	return news
+}
+
+// Away returns the time since a collector other than the instance's node last
+// answered and may still mint for this node.
+func (e *Election) Away(now time.Time, id member.InstanceID) time.Duration {
+	switch {
+	case e.drewFrom == id:
+		return now.Sub(e.beforeAt)
+	case e.released:
+		return reportLife
+	default:
+		return now.Sub(e.drewAt)
+	}
+}
+
+// Named takes note that by, which was asked, takes another instance for the
+// collector.
+func (e *Election) Named(now time.Time, by, id member.InstanceID) {
+	e.released = e.released || by == e.drewFrom
 	if now.Sub(e.silent[id]) >= ownWord {
 		delete(e.silent, id)
 	}
@@ -112,7 +148,7 @@
 func never(member.InstanceID) bool { return false }
 
 // Answer serves a draw of another node or of this one.
-func (e *Election) Answer(now time.Time, node string, draws []Draw) Answer {
+func (e *Election) Answer(now time.Time, node string, away time.Duration, draws []Draw) Answer {
 	e.update(now)
 	if !e.leads {
 		if id, ok := e.Collector(now); ok {
@@ -120,7 +156,7 @@
 			return Answer{Collector: id}
 		}
 	}
-	return Answer{Grants: e.pool.Draw(now, node, draws)}
+	return Answer{Grants: e.pool.Draw(now, node, away, draws)}
 }
 
 func (e *Election) update(now time.Time) {
--- a/core/usage/election_test.go
+++ b/core/usage/election_test.go
@@ -10,6 +10,9 @@
 	"github.com/toucancove/toucancove/core/member"
 )
 
+// lost is for how long a node was away that heard no collector for long.
+const lost = time.Minute
+
 // cluster is a number of nodes that elect their collector, in virtual time.
 type cluster struct {
 	workspace catalog.Workspace
@@ -74,16 +77,17 @@
 func (c *cluster) draw(now time.Time, n *clusterNode, id member.InstanceID, draws []Draw) bool {
 	collector := c.find(id)
 	if now.Before(collector.upAt) || collector.part != n.part {
-		n.election.Lost(now, id)
+		n.election.Lost(now, id, now.Before(collector.upAt))
 		return false
 	}
-	answer := collector.election.Answer(now, string(n.id), draws)
+	answer := collector.election.Answer(now, string(n.id), n.election.Away(now, id), draws)
 	n.election.Heard(id)
 	if answer.Collector != "" {
-		n.election.Named(now, answer.Collector)
+		n.election.Named(now, id, answer.Collector)
 		return false
 	}
 	c.collecting[id]++
+	n.election.Drew(now, id)
 	n.limiter.Granted(now, answer.Grants)
 	return true
 }
@@ -180,6 +184,46 @@
 	}
 }
 
+// As on a day of the users: six of 16 nodes are cut off, two by two restart, the
+// collector leaves for good, and a workspace begins to send eight times its rate.
+func TestCollectorLeavesWhileNodesAreCutOff(t *testing.T) {
+	const nodes, rate = 16, 159
+	w := catalog.Workspace{Name: "w", Rate: rate, Burst: rate}
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 13))
+		c := newCluster(nodes, w)
+		first := c.first()
+		restartAt := start.Add(4 * time.Second)
+		for now := start; now.Sub(start) < 16*time.Second; {
+			load := 0.8
+			if now.Sub(start) > 6*time.Second {
+				load = 8
+			}
+			now = now.Add(time.Duration(random.ExpFloat64() / (w.Rate * load) * float64(time.Second)))
+			passed := now.Sub(start)
+			for i := range 6 {
+				c.nodes[(first+1+i)%nodes].part = 0
+				if passed > time.Second && passed < 13*time.Second {
+					c.nodes[(first+1+i)%nodes].part = 1
+				}
+			}
+			if passed > 7*time.Second && c.nodes[first].upAt.Before(now) {
+				c.nodes[first].upAt = start.Add(time.Hour)
+			}
+			if now.After(restartAt) && passed < 12*time.Second {
+				c.restart(now.Add(500*time.Millisecond), (first+1+random.IntN(nodes-1))%nodes)
+				restartAt = now.Add(time.Second)
+			}
+			c.request(now, random.IntN(nodes))
+		}
+		most := (w.Rate*5+w.Burst)*1.25 + 20
+		fleet := fleet{admitted: c.admitted}
+		if worst := float64(fleet.worstWindow(tolerance.Window)); worst > most {
+			t.Errorf("seed %d: %v admitted in 5 s, want at most %v", seed, worst, most)
+		}
+	}
+}
+
 // The collector answers nobody for two seconds: another serves, and hands back.
 func TestCollectorServesAgainAfterSilence(t *testing.T) {
 	w := catalog.Workspace{Name: "w", Rate: 100, Burst: 100}
@@ -220,7 +264,7 @@
 	first := c.ids[c.first()]
 	var second *clusterNode
 	for _, n := range c.nodes {
-		n.election.Lost(start, first)
+		n.election.Lost(start, first, false)
 		if id, _ := n.election.Collector(start); id == n.id {
 			second = n
 		}
@@ -230,14 +274,14 @@
 	if _, ok := second.election.Probe(now); ok {
 		t.Error("probes before anyone asked")
 	}
-	if got := second.election.Answer(now, "x", nil); got.Collector != first {
+	if got := second.election.Answer(now, "x", lost, nil); got.Collector != first {
 		t.Errorf("names %q, want %q", got.Collector, first)
 	}
 	if id, ok := second.election.Probe(now); !ok || id != first {
 		t.Errorf("probes %q %v, want %q", id, ok, first)
 	}
-	second.election.Lost(now, first)
-	got := second.election.Answer(now, "x", []Draw{{Workspace: "w", Wanted: 1000}})
+	second.election.Lost(now, first, false)
+	got := second.election.Answer(now, "x", lost, []Draw{{Workspace: "w", Wanted: 1000}})
 	if got.Collector != "" {
 		t.Fatalf("names %q although that is silent", got.Collector)
 	}
@@ -249,13 +293,13 @@
 	}
 	for range 20 { // it collects for a while, hands back, and takes over again
 		now = now.Add(350 * time.Millisecond)
-		second.election.Lost(now, first)
-		second.election.Answer(now, "x", nil)
+		second.election.Lost(now, first, false)
+		second.election.Answer(now, "x", lost, nil)
 	}
 	second.election.Heard(first)
-	second.election.Answer(now, "x", nil)
-	second.election.Lost(now, first)
-	again := second.election.Answer(now, "x", []Draw{{Workspace: "w", Wanted: 1000}})
+	second.election.Answer(now, "x", lost, nil)
+	second.election.Lost(now, first, false)
+	again := second.election.Answer(now, "x", lost, []Draw{{Workspace: "w", Wanted: 1000}})
 	if tokens, most := again.Grants[0].Tokens, tolerance.firstFill(&c.workspace); tokens > most {
 		t.Errorf("%.1f tokens from a pool that takes over again, want at most %.1f", tokens, most)
 	}
@@ -268,7 +312,7 @@
 	p.Configure(start, []catalog.Workspace{w}, 1)
 	now := start.Add(time.Minute)
 	p.Begin(now)
-	got := p.Draw(now, "x", []Draw{{Workspace: "w", Wanted: 1000}})[0].Tokens
+	got := p.Draw(now, "x", lost, []Draw{{Workspace: "w", Wanted: 1000}})[0].Tokens
 	if most := tolerance.room(&w) - tolerance.depth(&w); got > most {
 		t.Errorf("%.1f tokens at once, want at most the %.1f that the depth leaves", got, most)
 	}
--- a/core/usage/limiter.go
+++ b/core/usage/limiter.go
@@ -23,9 +23,6 @@
 	// keepFactor is how many times its size a lot may hold before a part is
 	// given back.
 	keepFactor = 2
-	// silence is the time without an answer of a collector after which a node
-	// mints for itself.
-	silence = 700 * time.Millisecond
 	// leastDemand is the demand in requests per second below which a workspace
 	// counts as not in use at a node.
 	leastDemand = 0.05
@@ -91,7 +88,8 @@
 	// emptyUntil is when the pool is expected to have a token again.
 	emptyUntil time.Time
 	// fleet is the demand of all nodes together.
-	fleet    float64
+	fleet float64
+	// mintedAt is the time up to which tokens were minted, by a collector or here.
 	mintedAt time.Time
 
 	demand   float64
@@ -133,9 +131,7 @@
 		return Admitted, 0
 	}
 	held.count(now)
-	if l.alone(now) {
-		held.mint(now, l.nodes)
-	}
+	l.mint(now, held)
 	if held.tokens >= 1 || (held.credit && held.tokens-1 >= -l.credit(held)) {
 		held.tokens--
 		return Admitted, 0
@@ -168,7 +164,7 @@
 	if held == nil {
 		return true
 	}
-	held.mint(now, l.nodes)
+	l.mint(now, held)
 	if held.tokens < 1 && held.tokens-1 < -l.credit(held) {
 		return false
 	}
@@ -241,7 +237,7 @@
 		}
 		held.tokens += g.Tokens
 		held.fleet = g.Demand
-		held.mintedAt = now
+		held.mintedAt = now.Add(reportLife)
 		held.emptyUntil = now.Add(g.RetryAfter)
 		held.credit = g.Credit
 	}
@@ -264,18 +260,19 @@
 	return min(whole, leastCredit+2*held.demand*lotTime.Seconds())
 }
 
-// alone reports whether no collector answers.
-func (l *Limiter) alone(now time.Time) bool { return now.Sub(l.heardAt) > silence }
-
-// mint adds the node's share of the rate.
-func (h *lot) mint(now time.Time, nodes int) {
-	share := 1 / float64(nodes)
-	if h.fleet > 0 {
-		share = min(h.demand/h.fleet, 1)
+// mint adds the node's share of the rate for the time that no collector minted
+// for it: one does until reportLife after it last answered the node.
+func (l *Limiter) mint(now time.Time, held *lot) {
+	passed := now.Sub(held.mintedAt)
+	if passed <= 0 {
+		return
+	}
+	share := 1 / float64(l.nodes)
+	if held.fleet > 0 {
+		share = min(held.demand/held.fleet, 1)
 	}
-	passed := max(now.Sub(h.mintedAt), 0)
-	h.mintedAt = now
-	h.tokens = min(h.tokens+share*h.workspace.Rate*passed.Seconds(), max(1, share*h.workspace.Burst))
+	held.mintedAt = now
+	held.tokens = min(held.tokens+share*held.workspace.Rate*passed.Seconds(), max(1, share*held.workspace.Burst))
 }
 
 // chance returns a number between 0 and 1 that is fixed for a node and a
--- a/core/usage/pool.go
+++ b/core/usage/pool.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	// reportLife is the age at which what a node reported counts as lost: three
-	// draws.
-	reportLife = 1100 * time.Millisecond
+	// reportLife is the age at which what a node reported counts as lost, and from
+	// which a node that hears no collector mints for itself: two draws and one
+	// that times out half way.
+	reportLife = 900 * time.Millisecond
 	// countInterval is the time between counts of the nodes that draw.
-	countInterval = 100 * time.Millisecond
+	countInterval = 50 * time.Millisecond
 	// creditLevel is the part of the depth that must be in the pool for nodes to
 	// spend before they draw: it covers what they spend until they hear
 	// otherwise.
@@ -25,10 +26,21 @@
 type Pool struct {
 	tolerance  Tolerance
 	workspaces map[string]*minting
-	// fleet is the number of listed nodes; reporters are those that draw here.
+	// fleet is the number of listed nodes; reporters are those that draw here, of
+	// which counted no longer count elsewhere.
 	fleet     int
-	reporters map[string]time.Time
+	reporters map[string]reporter
+	counted   int
 	countedAt time.Time
+	// filled are the nodes that brought their part of the first fill.
+	filled map[string]bool
+}
+
+// reporter is a node that draws from a pool.
+type reporter struct {
+	at time.Time
+	// countsFrom is when no other pool, nor the node itself, mints for it.
+	countsFrom time.Time
 }
 
 // minting is the state of one workspace.
@@ -48,7 +60,7 @@
 
 // NewPool returns a pool that knows no workspace.
 func NewPool(tolerance Tolerance) *Pool {
-	return &Pool{tolerance: tolerance, workspaces: make(map[string]*minting), fleet: 1, reporters: make(map[string]time.Time)}
+	return &Pool{tolerance: tolerance, workspaces: make(map[string]*minting), fleet: 1, reporters: make(map[string]reporter), filled: make(map[string]bool)}
 }
 
 // SetTolerance replaces the tolerance. Lower depths apply with the next mint.
@@ -76,15 +88,17 @@
 // Begin empties the pool: another minted until now. Each node that draws brings
 // its part of what a new pool begins with.
 func (p *Pool) Begin(now time.Time) {
-	p.reporters = make(map[string]time.Time)
+	p.reporters, p.counted, p.filled = make(map[string]reporter), 0, make(map[string]bool)
 	for _, m := range p.workspaces {
 		m.at, m.tokens, m.reports = now, 0, make(map[string]report)
 	}
 }
 
 // Draw answers what a node asks. A draw of nothing tells that the node is there.
-func (p *Pool) Draw(now time.Time, node string, draws []Draw) []Grant {
-	p.count(now, node)
+// away is the time since another collector, which may mint for the node still,
+// last answered it.
+func (p *Pool) Draw(now time.Time, node string, away time.Duration, draws []Draw) []Grant {
+	p.count(now, node, away)
 	grants := make([]Grant, 0, len(draws))
 	for _, d := range draws {
 		m := p.workspaces[d.Workspace]
@@ -97,30 +111,50 @@
 }
 
 // count takes note of a node that draws, and of those that no longer do.
-func (p *Pool) count(now time.Time, node string) {
+func (p *Pool) count(now time.Time, node string, away time.Duration) {
 	if now.Sub(p.countedAt) >= countInterval {
-		p.countedAt = now
-		for other, at := range p.reporters {
-			if now.Sub(at) > reportLife {
-				delete(p.reporters, other)
-			}
+		p.recount(now)
+	}
+	r, known := p.reporters[node]
+	if !known {
+		r.countsFrom = now.Add(reportLife - min(away, reportLife))
+		if !p.filled[node] {
+			p.filled[node] = true
+			p.fill(now)
 		}
 	}
-	if _, known := p.reporters[node]; !known {
-		part := 1 / float64(p.fleet)
-		for _, m := range p.workspaces {
-			m.refill(now, p.tolerance, p.share())
-			m.tokens = min(m.tokens+part*p.tolerance.firstFill(&m.workspace), p.tolerance.depth(&m.workspace))
+	r.at = now
+	p.reporters[node] = r
+}
+
+// recount counts the nodes that this pool mints for.
+func (p *Pool) recount(now time.Time) {
+	for _, m := range p.workspaces {
+		m.refill(now, p.tolerance, p.share())
+	}
+	p.countedAt, p.counted = now, 0
+	for node, r := range p.reporters {
+		switch {
+		case now.Sub(r.at) > reportLife:
+			delete(p.reporters, node)
+		case !now.Before(r.countsFrom):
+			p.counted++
 		}
 	}
-	p.reporters[node] = now
 }
 
-// share returns the part of the fleet's nodes that draw from this pool.
-func (p *Pool) share() float64 {
-	return min(float64(len(p.reporters))/float64(p.fleet), 1)
+// fill adds one node's part of what a new pool begins with.
+func (p *Pool) fill(now time.Time) {
+	part := 1 / float64(p.fleet)
+	for _, m := range p.workspaces {
+		m.refill(now, p.tolerance, p.share())
+		m.tokens = min(m.tokens+part*p.tolerance.firstFill(&m.workspace), p.tolerance.depth(&m.workspace))
+	}
 }
 
+// share returns the part of the fleet's nodes that this pool mints for.
+func (p *Pool) share() float64 { return min(float64(p.counted)/float64(p.fleet), 1) }
+
 func (m *minting) draw(now time.Time, node string, d Draw, t Tolerance, share float64) Grant {
 	m.refill(now, t, share)
 	grant := Grant{Workspace: d.Workspace}
@@ -132,16 +166,26 @@
 		m.tokens -= grant.Tokens
 	}
 	if grant.Tokens < d.Wanted && grant.Tokens+d.Held < 1 {
-		missing := 1 - m.tokens
-		wait := time.Duration(missing / (share * t.rate(&m.workspace)) * float64(time.Second))
-		grant.RetryAfter = max(wait, leastRetryAfter)
+		grant.RetryAfter = m.nextToken(t, share)
 	}
 	grant.Credit = m.tokens > creditLevel*t.depth(&m.workspace)
 	m.reports[node] = report{at: now, held: d.Held + grant.Tokens + min(d.Wanted, 0), demand: d.Demand}
-	grant.Demand = m.demand() / share // the others draw elsewhere
+	grant.Demand = m.demand()
+	if share > 0 {
+		grant.Demand /= share // the others draw elsewhere
+	}
 	return grant
 }
 
+// nextToken returns the time until a token is minted.
+func (m *minting) nextToken(t Tolerance, share float64) time.Duration {
+	if share <= 0 {
+		return reportLife
+	}
+	wait := time.Duration((1 - m.tokens) / (share * t.rate(&m.workspace)) * float64(time.Second))
+	return max(wait, leastRetryAfter)
+}
+
 // refill mints a share of what is due. Tokens that nodes hold count against the
 // depth.
 func (m *minting) refill(now time.Time, t Tolerance, share float64) {
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -23,6 +25,9 @@
 	// probeTimeout bounds the question whether an instance's node is there. It
 	// comes before a draw in the same turn.
 	probeTimeout = drawInterval / 2
+	// maxAway bounds what is told of how long a node was away; collectors tell
+	// nothing apart beyond a few seconds.
+	maxAway = time.Minute
 	// maxAsks bounds the questions that one request waits for: it may join one
 	// that was sent before it came.
 	maxAsks = 3
@@ -226,7 +231,7 @@
 	if !ok {
 		return nil // it has just left the list
 	}
-	message := &meshpb.DrawRequest{Node: q.node, Draws: drawMessages(draws)}
+	message := &meshpb.DrawRequest{Node: q.node, Draws: drawMessages(draws), AwayMs: q.awayFrom(id)}
 	answer := &meshpb.DrawReply{}
 	if address := q.controlAddress(instance); address == "" {
 		answer = q.answer(message)
@@ -240,17 +245,31 @@
 	defer q.mu.Unlock()
 	q.election.Heard(id)
 	if answer.Collector != "" {
-		q.election.Named(time.Now(), member.InstanceID(answer.Collector))
+		q.election.Named(time.Now(), id, member.InstanceID(answer.Collector))
 		return nil
 	}
-	q.limiter.Granted(time.Now(), grantsFrom(answer.Grants))
+	now := time.Now()
+	if q.election.Drew(now, id) {
+		q.log.Info("collector of quota changed", "collector", id)
+	}
+	q.limiter.Granted(now, grantsFrom(answer.Grants))
 	return nil
 }
 
+// awayFrom returns in milliseconds for how long the node has drawn from no other
+// collector than the instance's.
+func (q *quota) awayFrom(id member.InstanceID) uint32 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	away := min(q.election.Away(time.Now(), id), maxAway)
+	return uint32(away.Milliseconds())
+}
+
 func (q *quota) lost(collector member.InstanceID, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.election.Lost(time.Now(), collector) {
+	ended := errors.Is(err, syscall.ECONNREFUSED)
+	if q.election.Lost(time.Now(), collector, ended) {
 		q.log.Info("collector of quota lost", "collector", collector, "reason", err.Error())
 	}
 }
@@ -259,7 +278,8 @@
 func (q *quota) answer(in *meshpb.DrawRequest) *meshpb.DrawReply {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	answer := q.election.Answer(time.Now(), in.Node, drawsFrom(in.Draws))
+	away := time.Duration(in.AwayMs) * time.Millisecond
+	answer := q.election.Answer(time.Now(), in.Node, away, drawsFrom(in.Draws))
 	return &meshpb.DrawReply{Grants: grantMessages(answer.Grants), Collector: string(answer.Collector)}
 }
 
--- /dev/null
+++ b/mesh/quota_test.go
@@ -0,0 +1,28 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+
+	"github.com/toucancove/toucancove/peer/meshpb"
+)
+
+// A collector whose process has ended mints no longer; that shows in the error of
+// the call.
+func TestEndedProcessShowsInTheError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, err = newControlClients().client(address).DrawTokens(context.Background(), &meshpb.DrawRequest{Node: "x"})
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("error %v does not tell that nothing listens", err)
+	}
+}
