--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -121,6 +121,7 @@
 	definition Definition
 	byHost     map[string][]*Route
 	byKey      map[string]*Workspace
+	byName     map[string]*Route
 	services   map[string]*Service
 	// firstWorkspace is the rank of the most urgent workspace.
 	firstWorkspace int
@@ -136,11 +137,13 @@
 		definition: d,
 		byHost:     make(map[string][]*Route),
 		byKey:      make(map[string]*Workspace),
+		byName:     make(map[string]*Route),
 		services:   make(map[string]*Service),
 	}
 	for i := range d.Routes {
 		route := &d.Routes[i]
 		c.byHost[route.Host] = append(c.byHost[route.Host], route)
+		c.byName[route.Name] = route
 	}
 	for i := range d.Workspaces {
 		for _, key := range d.Workspaces[i].Keys {
@@ -166,6 +169,9 @@
 // Routes returns all routes. The slice must not be changed.
 func (c *Catalog) Routes() []Route { return c.definition.Routes }
 
+// Route returns a route by its name, or nil.
+func (c *Catalog) Route(name string) *Route { return c.byName[name] }
+
 // Service returns a service by its name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
--- a/mesh/gates.go
+++ b/mesh/gates.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -45,7 +46,7 @@
 	return &gates{routes: routes, byKey: make(map[gateKey]*shed.Gate), budget: make(map[string]time.Duration)}
 }
 
-// stateChanged takes the published ranks.
+// stateChanged takes the published ranks, and forgets routes that are gone.
 func (g *gates) stateChanged(state *follow.State) {
 	if state.Catalog == nil {
 		return
@@ -57,6 +58,8 @@
 		g.ranks = ranks
 		clear(g.byKey)
 	}
+	maps.DeleteFunc(g.byKey, func(key gateKey, _ *shed.Gate) bool { return state.Catalog.Route(key.route) == nil })
+	maps.DeleteFunc(g.budget, func(name string, _ time.Duration) bool { return state.Catalog.Route(name) == nil })
 }
 
 // gate returns the gate of a request. The lock must be held.
--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -79,8 +80,11 @@
 	deadline time.Time
 }
 
-// stateChanged takes the published slots of the own instance.
+// stateChanged takes the published slots of the own instance, and forgets routes
+// that are gone.
 func (g *guard) stateChanged(state *follow.State) {
+	g.cfg.lineage.stateChanged(state)
+	g.forgetRoutes(state)
 	own, listed := g.own(state)
 	g.draining.Store(listed && own.Draining)
 	if !listed {
@@ -91,6 +95,15 @@
 	g.queue.SetSlots(own.Slots)
 }
 
+func (g *guard) forgetRoutes(state *follow.State) {
+	if state.Catalog == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.usual, func(name string, _ time.Duration) bool { return state.Catalog.Route(name) == nil })
+}
+
 // own returns the list's entry of the own instance.
 func (g *guard) own(state *follow.State) (catalog.Instance, bool) {
 	if state.Directory == nil {
--- a/mesh/lineage.go
+++ b/mesh/lineage.go
@@ -1,11 +1,13 @@
 package mesh
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/toucancove/toucancove/core/catalog"
 	"github.com/toucancove/toucancove/core/shed"
+	"github.com/toucancove/toucancove/follow"
 )
 
 // deadlineTolerance is how far the deadline of a call may be from that of the
@@ -64,6 +66,16 @@
 	return c
 }
 
+// stateChanged forgets routes that are gone.
+func (l *lineage) stateChanged(state *follow.State) {
+	if state.Catalog == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.chains, func(name string, _ *chainSignal) bool { return state.Catalog.Route(name) == nil })
+}
+
 func (l *lineage) begin(p *parent) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -87,6 +87,43 @@
 	}
 }
 
+// Operators rename routes; what was learned of the old names must not pile up.
+func TestRoutesThatAreGoneAreForgotten(t *testing.T) {
+	r, _ := startRig(t, ok, ok)
+	for i := range 20 {
+		if got := r.send(0, "/safe/x", fmt.Sprint(i), nil); got.status != http.StatusOK {
+			t.Fatalf("answer %+v", got)
+		}
+	}
+	if learned(r.nodes[0]) == 0 {
+		t.Fatal("nothing was learned of a route")
+	}
+	r.store.publish(func(s *memoryStore) {
+		next := testDefinition()
+		next.Version = 2
+		for i := range next.Routes {
+			next.Routes[i].Name = "new-" + next.Routes[i].Name
+		}
+		s.definition = next
+	})
+	for _, n := range r.nodes {
+		r.eventually(n.cfg.Node+" has forgotten the old names", func() bool { return learned(n) == 0 })
+	}
+}
+
+// learned counts what a node keeps by the names of routes.
+func learned(n *Node) int {
+	n.gates.mu.Lock()
+	count := len(n.gates.byKey) + len(n.gates.budget)
+	n.gates.mu.Unlock()
+	n.guard.mu.Lock()
+	count += len(n.guard.usual)
+	n.guard.mu.Unlock()
+	n.guard.cfg.lineage.mu.Lock()
+	defer n.guard.cfg.lineage.mu.Unlock()
+	return count + len(n.guard.cfg.lineage.chains)
+}
+
 func TestRefusals(t *testing.T) {
 	r, servers := startRig(t, ok)
 	small := func(q *http.Request) { q.Header.Set(testHeaders.Key, "small-key") }
@@ -252,13 +289,13 @@
 		ended <- struct{}{}
 		return false
 	}
-	r, _ := startRig(t, hangs, hangs)
+	r, servers := startRig(t, hangs, hangs)
 	conn, err := net.Dial("tcp", r.at(0, entryPort))
 	if err != nil {
 		t.Fatal(err)
 	}
 	fmt.Fprint(conn, "GET /safe/x HTTP/1.1\r\nHost: h\r\nT-Id: a\r\nT-Budget: 60000\r\nT-Key: big-key\r\n\r\n")
-	r.eventually("the request runs", func() bool { return r.nodes[0].active.Load()+r.nodes[1].active.Load() > 0 })
+	r.eventually("the request runs", func() bool { return servers[0].arrived.Load()+servers[1].arrived.Load() > 0 })
 	_ = conn.Close()
 	select {
 	case <-ended:
--- a/mesh/routes.go
+++ b/mesh/routes.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -115,12 +116,16 @@
 	for name, table := range s.services {
 		tables[name] = table
 	}
+	if state.Catalog != nil {
+		maps.DeleteFunc(s.splits, func(name string, _ *split) bool { return state.Catalog.Route(name) == nil })
+	}
 	s.nodes = max(state.Directory.Len(), 1)
 	limits := s.limits
 	s.mu.Unlock()
 	for name, table := range tables {
 		table.update(now, byService[name])
 		table.setBudgets(limits, state.Directory.Len())
+		table.forgetRoutes(state)
 	}
 }
 
@@ -145,6 +150,16 @@
 	t.table.Update(now, candidates)
 }
 
+// forgetRoutes drops what was learned of routes that are gone.
+func (t *serviceTable) forgetRoutes(state *follow.State) {
+	if state.Catalog == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.latency, func(name string, _ time.Duration) bool { return state.Catalog.Route(name) == nil })
+}
+
 // setBudgets gives the node its part of the retries that the fleet may make.
 func (t *serviceTable) setBudgets(limits RetryLimits, nodes int) {
 	t.mu.Lock()
