Judge windows of a quota in the fault soak; mint nothing for time in which nobody drew

Found by reading for it: a collector that is stopped and goes on minted for the whole time, although its nodes had minted elsewhere.

--- a/core/usage/election_test.go
+++ b/core/usage/election_test.go
@@ -317,3 +317,19 @@
 		t.Errorf("%.1f tokens at once, want at most the %.1f that the depth leaves", got, most)
 	}
 }
+
+// A collector that was stopped finds, when it goes on, that nobody drew from it
+// for three seconds: the nodes minted elsewhere.
+func TestStoppedCollectorMintsNothing(t *testing.T) {
+	w := catalog.Workspace{Name: "w", Rate: 100, Burst: 100}
+	p := NewPool(tolerance)
+	p.Configure(start, []catalog.Workspace{w}, 1)
+	all := []Draw{{Workspace: "w", Wanted: 1000}}
+	for at := time.Duration(0); at < 2*time.Second; at += 350 * time.Millisecond {
+		p.Draw(start.Add(at), "x", lost, all)
+	}
+	got := p.Draw(start.Add(5*time.Second), "x", lost, all)[0].Tokens
+	if most := reportLife.Seconds() * tolerance.rate(&w); got > most {
+		t.Errorf("%.1f tokens after a stop, want at most the %.1f of the time in which the node counted", got, most)
+	}
+}
--- a/core/usage/pool.go
+++ b/core/usage/pool.go
@@ -189,7 +189,8 @@
 // refill mints a share of what is due. Tokens that nodes hold count against the
 // depth.
 func (m *minting) refill(now time.Time, t Tolerance, share float64) {
-	passed := max(now.Sub(m.at), 0)
+	// Nodes that have not drawn for longer mint elsewhere.
+	passed := min(max(now.Sub(m.at), 0), reportLife)
 	m.at = now
 	if !m.workspace.Limited() {
 		return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,8 +70,10 @@
 	nodes  []*node
 	client http.Transport
 
-	mu       sync.Mutex
-	runs     map[string]int
+	mu   sync.Mutex
+	runs map[string]int
+	// metered are the times of the runs of the workspace with a quota.
+	metered  []time.Time
 	answers  []answer
 	problems []string
 	sent     atomic.Int64
@@ -106,6 +109,27 @@
 	serverPort = 43006
 )
 
+// Keys of the workspaces: one without a quota, one that sends many times its own.
+const (
+	goodKey    = "good-key"
+	meteredKey = "metered-key"
+)
+
+// The quota of the workspace that has one, and what the settings tolerate above
+// it in any window.
+const (
+	meteredRate    = 40
+	meteredBurst   = 40
+	quotaWindow    = 5 * time.Second
+	quotaOverage   = 0.25
+	quotaSlack     = 20
+	meteredClients = 2
+	meteredPause   = 2 * time.Millisecond
+)
+
+// mostMetered is what may run for that workspace in any window.
+const mostMetered = int((meteredRate*5+meteredBurst)*(1+quotaOverage) + quotaSlack)
+
 func start(t *testing.T, seed uint64, nodes int) *soak {
 	t.Helper()
 	s := &soak{
@@ -114,7 +138,7 @@
 	}
 	storeServer := httptest.NewServer(s.store)
 	t.Cleanup(storeServer.Close)
-	s.store.Put("op/config", configuration(1, "good-key"))
+	s.store.Put("op/config", configuration(1))
 	for i := range nodes {
 		s.addNode(i, strings.TrimPrefix(storeServer.URL, "http://"))
 	}
@@ -125,12 +149,13 @@
 	return s
 }
 
-func configuration(version int, key string) []byte {
+func configuration(version int) []byte {
 	return fmt.Appendf(nil, `{"Version":"r%d","Resources":[
  {"TypeUrl":"Routes","Metadata":{"Name":"safe"},"Spec":{"Host":"h","Prefix":"/safe/","Kind":"safe","TimeoutS":1,"TargetLatencyS":0.5,"Service":"desk","MaxAttempts":2}},
  {"TypeUrl":"Routes","Metadata":{"Name":"once"},"Spec":{"Host":"h","Prefix":"/once/","Kind":"unsafe","TimeoutS":1,"TargetLatencyS":0.5,"Service":"desk","MaxAttempts":2}},
  {"TypeUrl":"Services","Metadata":{"Name":"desk"},"Spec":{}},
- {"TypeUrl":"Tenants","Metadata":{"Name":"w"},"Spec":{"ApiKeys":[%q]}}]}`, version, key)
+ {"TypeUrl":"Tenants","Metadata":{"Name":"metered"},"Spec":{"ApiKeys":[%q],"RatePerS":%d,"Burst":%d}},
+ {"TypeUrl":"Tenants","Metadata":{"Name":"w"},"Spec":{"ApiKeys":[%q]}}]}`, version, meteredKey, meteredRate, meteredBurst, goodKey)
 }
 
 func (s *soak) addNode(i int, storeAddress string) {
@@ -147,7 +172,8 @@
 	n.toServer = s.proxy(fmt.Sprint(ip, ":", serverPort), server.Addr().String())
 	n.toStore = s.proxy(fmt.Sprint(ip, ":43009"), storeAddress)
 	text := fmt.Sprintf("node: n%d\nzone: z%d\nservice: desk\nlisten:\n  entry: %s:%d\n  peer: %s:43002\n  control: %s:43003\n"+
-		"  ready: %s:43004\n  metrics: %s:43005\nupstream: %s:%d\nstore: %s:43009\nbounds: [GracePeriodS=2, RetryBudgetRatio=0.2, BudgetSlack=50]\n",
+		"  ready: %s:43004\n  metrics: %s:43005\nupstream: %s:%d\nstore: %s:43009\nbounds: [GracePeriodS=2, RetryBudgetRatio=0.2, BudgetSlack=50, "+
+		"QuotaWindowS=5, QuotaOverage=0.25, QuotaSlack=20]\n",
 		i, i%2, ip, entryPort, ip, ip, ip, ip, ip, serverPort, ip)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
@@ -246,10 +272,14 @@
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", request)
 		return err == nil
 	}
+	tenant := r.Header.Get("Tenant")
 	s.mu.Lock()
 	s.runs[request]++
+	if tenant == "metered" {
+		s.metered = append(s.metered, time.Now())
+	}
 	s.mu.Unlock()
-	if r.Header.Get("Credential") != "" || r.Header.Get("Tenant") != "w" || r.Header.Get("Caller-Service") != "desk" {
+	if r.Header.Get("Credential") != "" || (tenant != "w" && tenant != "metered") || r.Header.Get("Caller-Service") != "desk" {
 		s.problem("request %s came with header %v", request, r.Header)
 	}
 	time.Sleep(time.Duration(rand.N(20)) * time.Millisecond)
@@ -323,7 +353,7 @@
 	for _, n := range s.nodes {
 		served := 0
 		for deadline := time.Now().Add(limit); served < 3; time.Sleep(10 * time.Millisecond) {
-			if s.request(n, "good-key") == http.StatusOK {
+			if s.request(n, goodKey) == http.StatusOK {
 				served++
 			}
 			if time.Now().After(deadline) {
@@ -346,11 +376,17 @@
 					return
 				default:
 				}
-				key := "good-key"
-				if random.IntN(20) == 0 {
+				key := goodKey
+				switch {
+				case random.IntN(20) == 0:
 					key = "stolen"
+				case c < meteredClients:
+					key = meteredKey
 				}
 				s.request(s.nodes[random.IntN(len(s.nodes))], key)
+				if key == meteredKey {
+					time.Sleep(meteredPause)
+				}
 			}
 		})
 	}
@@ -392,7 +428,7 @@
 		n.signal(syscall.SIGTERM)
 	case 6:
 		*version++
-		s.store.Put("op/config", configuration(*version, "good-key"))
+		s.store.Put("op/config", configuration(*version))
 		n.signal(syscall.SIGHUP)
 	case 7:
 		s.store.SetFaults(store.Faults{Status: http.StatusServiceUnavailable})
@@ -401,6 +437,19 @@
 	}
 }
 
+// mostInWindow returns the most runs of the workspace with a quota in any window.
+func (s *soak) mostInWindow() int {
+	slices.SortFunc(s.metered, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range s.metered {
+		for at.Sub(s.metered[first]) > quotaWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // judge checks the promises.
 func (s *soak) judge() {
 	s.t.Helper()
@@ -426,8 +475,12 @@
 			s.t.Errorf("seed %d: request %s may run once and ran %d times", s.seed, id, runs)
 		}
 	}
+	if most := s.mostInWindow(); most > mostMetered {
+		s.t.Errorf("seed %d: %d runs of the workspace with a quota in %v, want at most %d", s.seed, most, quotaWindow, mostMetered)
+	}
 	for _, problem := range s.problems {
 		s.t.Errorf("seed %d: %s", s.seed, problem)
 	}
-	s.t.Logf("seed %d: %d requests sent, %d answered, %d served", s.seed, s.sent.Load(), len(s.answers), served)
+	s.t.Logf("seed %d: %d requests sent, %d answered, %d served; at most %d of %d metered runs in a window",
+		s.seed, s.sent.Load(), len(s.answers), served, s.mostInWindow(), mostMetered)
 }
