--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -123,7 +123,7 @@
 	quotaWindow    = 5 * time.Second
 	quotaOverage   = 0.25
 	quotaSlack     = 20
-	meteredClients = 2
+	meteredClients = 4
 	meteredPause   = 2 * time.Millisecond
 )
 
