--- a/core/usage/election_test.go
+++ b/core/usage/election_test.go
@@ -128,6 +128,15 @@
 	return ok
 }
 
+// checkQuota fails the test if more were admitted in a window than may be.
+func (c *cluster) checkQuota(t *testing.T, what string) {
+	t.Helper()
+	most := (c.workspace.Rate*5+c.workspace.Burst)*1.25 + 20
+	if worst := float64(mostIn(c.admitted, tolerance.Window)); worst > most {
+		t.Errorf("%s: %v admitted in 5 s, want at most %v", what, worst, most)
+	}
+}
+
 // All processes are killed while a workspace sends eight times its rate, and come
 // back over a second, the collector last, so that the others turn to another.
 func TestFleetThatComesBackByAndByStaysWithinTheTolerance(t *testing.T) {
@@ -148,11 +157,7 @@
 				}
 				c.request(now, random.IntN(nodes))
 			}
-			most := (w.Rate*5+w.Burst)*1.25 + 20
-			fleet := fleet{admitted: c.admitted}
-			if worst := float64(fleet.worstWindow(tolerance.Window)); worst > most {
-				t.Errorf("%s, seed %d: %v admitted in 5 s, want at most %v", w.Name, seed, worst, most)
-			}
+			c.checkQuota(t, fmt.Sprintf("%s, seed %d", w.Name, seed))
 		}
 	}
 }
@@ -176,11 +181,7 @@
 			}
 			c.request(now, random.IntN(nodes))
 		}
-		most := (w.Rate*5+w.Burst)*1.25 + 20
-		fleet := fleet{admitted: c.admitted}
-		if worst := float64(fleet.worstWindow(tolerance.Window)); worst > most {
-			t.Errorf("%d nodes away: %v admitted in 5 s, want at most %v", away, worst, most)
-		}
+		c.checkQuota(t, fmt.Sprintf("%d nodes away", away))
 	}
 }
 
@@ -216,11 +217,7 @@
 			}
 			c.request(now, random.IntN(nodes))
 		}
-		most := (w.Rate*5+w.Burst)*1.25 + 20
-		fleet := fleet{admitted: c.admitted}
-		if worst := float64(fleet.worstWindow(tolerance.Window)); worst > most {
-			t.Errorf("seed %d: %v admitted in 5 s, want at most %v", seed, worst, most)
-		}
+		c.checkQuota(t, fmt.Sprintf("seed %d", seed))
 	}
 }
 
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -63,10 +63,13 @@
 }
 
 // worstWindow returns the largest number admitted in any window.
-func (f *fleet) worstWindow(length time.Duration) int {
+func (f *fleet) worstWindow(length time.Duration) int { return mostIn(f.admitted, length) }
+
+// mostIn returns the largest number of times, which are in order, in any window.
+func mostIn(times []time.Time, length time.Duration) int {
 	worst, first := 0, 0
-	for i, at := range f.admitted {
-		for at.Sub(f.admitted[first]) > length {
+	for i, at := range times {
+		for at.Sub(times[first]) > length {
 			first++
 		}
 		worst = max(worst, i-first+1)
