Wait for a free descriptor instead of ending

The server library takes that error for final, and the node stops when a listener does. All listeners now wait 10 ms and accept again, with at most one log line a second.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -303,7 +303,8 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s for %s", l.address, l.name)
 		}
-		servers = append(servers, server{l.name, listener, func() error { return l.serve(listener) }})
+		patient := patientListener{listener, l.name, n.log}
+		servers = append(servers, server{l.name, patient, func() error { return l.serve(patient) }})
 	}
 	return servers, nil
 }
