Mint at a node only when no collector answers; no credit on chance demand

(2) One request by chance is a demand of one a second at its node, several times the node's part of the fleet's, so credit over all nodes came to more than it may. Now a node mints for itself only when no collector answers, or one answers that does not know the workspace, and credit follows measured demand from three requests a second on. The tests of refusals inside the quota pass as before.

--- a/core/usage/election_test.go
+++ b/core/usage/election_test.go
@@ -88,7 +88,7 @@
 	}
 	c.collecting[id]++
 	n.election.Drew(now, id)
-	n.limiter.Granted(now, answer.Grants)
+	n.limiter.Granted(now, draws, answer.Grants)
 	return true
 }
 
@@ -162,6 +162,28 @@
 	}
 }
 
+// A workspace with a small quota sends from 74 nodes; most have not heard of it
+// for long when it begins to send many times its rate.
+func TestSmallQuotaOverManyNodesStaysWithinTheTolerance(t *testing.T) {
+	const nodes = 74
+	w := catalog.Workspace{Name: "w", Rate: 20, Burst: 20}
+	for _, hot := range []float64{3, 8, 20} {
+		for seed := range uint64(5) {
+			random := rand.New(rand.NewPCG(seed, 21))
+			c := newCluster(nodes, w)
+			for now := start; now.Sub(start) < 20*time.Second; {
+				load := 0.6
+				if now.Sub(start) > 8*time.Second {
+					load = hot
+				}
+				now = now.Add(time.Duration(random.ExpFloat64() / (w.Rate * load) * float64(time.Second)))
+				c.request(now, random.IntN(nodes))
+			}
+			c.checkQuota(t, fmt.Sprintf("%v times the rate, seed %d", hot, seed))
+		}
+	}
+}
+
 // Two parts of the fleet lose touch while a workspace sends eight times its rate
 // in both.
 func TestPartsOutOfTouchStayWithinTheTolerance(t *testing.T) {
--- a/core/usage/limiter.go
+++ b/core/usage/limiter.go
@@ -23,6 +23,9 @@
 	// keepFactor is how many times its size a lot may hold before a part is
 	// given back.
 	keepFactor = 2
+	// steadyDemand is the demand in requests per second above which a node's part
+	// of the fleet's is known: below, it is one or two requests by chance.
+	steadyDemand = 3
 	// leastDemand is the demand in requests per second below which a workspace
 	// counts as not in use at a node.
 	leastDemand = 0.05
@@ -91,6 +94,8 @@
 	fleet float64
 	// mintedAt is the time up to which tokens were minted, by a collector or here.
 	mintedAt time.Time
+	// unknown is set while the collector answers and knows no such workspace.
+	unknown bool
 
 	demand   float64
 	demandAt time.Time
@@ -206,7 +211,7 @@
 		case held.tokens > keepFactor*size:
 			draw.Wanted = size - held.tokens
 			held.tokens = size
-		case held.tokens < size && !now.Before(held.emptyUntil):
+		case held.tokens < size && (held.tokens < 0 || !now.Before(held.emptyUntil)): // what is owed is paid at once
 			draw.Wanted = size - held.tokens
 		}
 		draws = append(draws, draw)
@@ -227,9 +232,15 @@
 	}
 }
 
-// Granted takes what the pool granted.
-func (l *Limiter) Granted(now time.Time, grants []Grant) {
+// Granted takes what a collector granted for draws. It does not mint for
+// workspaces that it grants nothing for: it does not know them yet.
+func (l *Limiter) Granted(now time.Time, draws []Draw, grants []Grant) {
 	l.heardAt = now
+	for _, d := range draws {
+		if held := l.lots[d.Workspace]; held != nil {
+			held.unknown = true
+		}
+	}
 	for _, g := range grants {
 		held := l.lots[g.Workspace]
 		if held == nil {
@@ -237,7 +248,7 @@
 		}
 		held.tokens += g.Tokens
 		held.fleet = g.Demand
-		held.mintedAt = now.Add(reportLife)
+		held.mintedAt, held.unknown = now.Add(reportLife), false
 		held.emptyUntil = now.Add(g.RetryAfter)
 		held.credit = g.Credit
 	}
@@ -249,7 +260,7 @@
 // fixed for a node and a workspace, so that they add up over many nodes.
 func (l *Limiter) credit(held *lot) float64 {
 	share := 1 / float64(l.nodes)
-	if held.fleet > 0 {
+	if held.fleet > 0 && held.demand >= steadyDemand {
 		share = min(held.demand/held.fleet, 1)
 	}
 	part := share * l.tolerance.credit(&held.workspace)
@@ -263,7 +274,11 @@
 // mint adds the node's share of the rate for the time that no collector minted
 // for it: one does until reportLife after it last answered the node.
 func (l *Limiter) mint(now time.Time, held *lot) {
-	passed := now.Sub(held.mintedAt)
+	from := held.mintedAt
+	if heard := l.heardAt.Add(reportLife); !held.unknown && heard.After(from) {
+		from = heard
+	}
+	passed := now.Sub(from)
 	if passed <= 0 {
 		return
 	}
