--- a/core/usage/election_test.go
+++ b/core/usage/election_test.go
@@ -207,8 +207,8 @@
 	}
 }
 
-// As on a day of the users: six of 16 nodes are cut off, two by two restart, the
-// collector leaves for good, and a workspace begins to send eight times its rate.
+// Six of 16 nodes are cut off, others restart one by one, the collector leaves
+// for good, and a workspace begins to send eight times its rate.
 func TestCollectorLeavesWhileNodesAreCutOff(t *testing.T) {
 	const nodes, rate = 16, 159
 	w := catalog.Workspace{Name: "w", Rate: rate, Burst: rate}
--- a/mesh/listener_test.go
+++ b/mesh/listener_test.go
@@ -25,7 +25,7 @@
 	return nil, net.ErrClosed
 }
 
-// On a day with 74 nodes one ended with "accept4: too many open files".
+// A node with thousands of connections has no descriptor left for a while.
 func TestListenerOutlivesTheLackOfDescriptors(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		scarce := &scarceListener{missing: 300}
