--- a/mesh/rig_test.go
+++ b/mesh/rig_test.go
@@ -95,7 +95,7 @@
 // answerFunc answers one request; it returns false to close the connection.
 type answerFunc func(conn net.Conn, r *http.Request) bool
 
-func startUpstream(t *testing.T, address string, answer answerFunc) *upstream {
+func startUpstream(t testing.TB, address string, answer answerFunc) *upstream {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -150,7 +150,7 @@
 
 // rig is a small mesh on loopback addresses.
 type rig struct {
-	t      *testing.T
+	t      testing.TB
 	grace  time.Duration
 	number int64
 	client http.Transport
@@ -196,12 +196,12 @@
 }
 
 // startRig starts a node beside each upstream, all of one service.
-func startRig(t *testing.T, upstreams ...answerFunc) (*rig, []*upstream) {
+func startRig(t testing.TB, upstreams ...answerFunc) (*rig, []*upstream) {
 	t.Helper()
 	return startRigWith(t, 200*time.Millisecond, upstreams...)
 }
 
-func startRigWith(t *testing.T, grace time.Duration, upstreams ...answerFunc) (*rig, []*upstream) {
+func startRigWith(t testing.TB, grace time.Duration, upstreams ...answerFunc) (*rig, []*upstream) {
 	t.Helper()
 	r := &rig{t: t, grace: grace, number: rigs.Add(1), store: &memoryStore{changed: make(chan struct{}), revision: 1}}
 	var servers []*upstream
