Refuse as not run only what no attempt ran

Cause: the entry judged a request by its last attempt. An idempotent request whose answer was lost, or that its instance failed, is sent once more; when the second instance rejected it or its guard had no slot, the caller got 503, which promises that nothing ran, and the token of its quota was given back.

Now an attempt that did not run takes nothing back of an earlier one that may have: the caller gets 502, or the instance's own failure with its signature.

Ruled out: requests that may run once; they get no second attempt after a run.

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -72,8 +72,6 @@
 	// sent counts the instances that the request arrived at.
 	sent  int
 	tried []member.InstanceID
-	// last is the instance of the latest attempt.
-	last member.InstanceID
 }
 
 // handle serves the listener for clients and the own instance.
@@ -189,7 +187,7 @@
 // finish answers the caller.
 func (e *entry) finish(ctx *fasthttp.RequestCtx, r *request, o outcome) {
 	if o.reply != nil && o.run == runYes {
-		e.cfg.report.answered(r, o.reply.response.StatusCode())
+		e.cfg.report.answered(r, o.instance, o.reply.response.StatusCode())
 		writeReply(ctx, o.reply)
 		e.closeIfLeaving(ctx)
 		return
@@ -231,26 +229,26 @@
 
 // dispatch tries instances until one answers or the request must be given up.
 func (e *entry) dispatch(ctx context.Context, r *request) outcome {
-	last := refusedOutcome(reasonNoInstance, "")
+	all := refusedOutcome(reasonNoInstance, "")
 	for {
 		route, err := e.cfg.routes.pick(r)
 		if err != nil {
-			if last.reason == reasonNoInstance {
+			if len(r.tried) == 0 {
 				e.cfg.gates.observeTimeout(r, r.arrived)
 			}
-			return last
+			return all
 		}
-		last.release()
-		last = e.attempt(ctx, r, route)
-		if !e.again(ctx, r, &last) {
-			return last
+		last := e.attempt(ctx, r, route)
+		again := e.again(ctx, r, &last)
+		all = last.after(all)
+		if !again {
+			return all
 		}
 	}
 }
 
 // attempt sends the request to one instance.
 func (e *entry) attempt(ctx context.Context, r *request, route pick) outcome {
-	r.last = route.instance.ID
 	r.tried = append(r.tried, route.instance.ID)
 	started := time.Now()
 	r.body.attach(r.out)
@@ -265,6 +263,7 @@
 	if o.reached {
 		r.sent++
 	}
+	o.instance = route.instance.ID
 	e.cfg.routes.finished(route, &o, now.Sub(started))
 	return o
 }
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -201,6 +201,36 @@
 	}
 }
 
+// fails answers that it ran the request and failed.
+func fails(conn net.Conn, r *http.Request) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 500 Failed\r\nT-Id: %s\r\nT-Signature: f\r\nContent-Length: 0\r\n\r\n", r.Header.Get(testHeaders.RequestID))
+	return err == nil
+}
+
+// An idempotent request is sent once more to an instance that rejects it. That
+// does not undo its first run, whichever instance comes first.
+func TestRejectionAfterARunIsNoRefusal(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer answerFunc
+		status int
+	}{
+		{"answer lost", loses, http.StatusBadGateway},
+		{"own failure", fails, http.StatusInternalServerError},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, servers := startRig(t, test.answer, rejects)
+			for i := range 6 {
+				before := servers[0].arrived.Load()
+				got := r.send(i%2, "/safe/x", fmt.Sprint("id-", i), nil)
+				if ran := servers[0].arrived.Load() > before; ran && got.status != test.status {
+					t.Errorf("request %d: status %d after a run, want %d", i, got.status, test.status)
+				}
+			}
+		})
+	}
+}
+
 // An extra answer after a whole one, and one that arrives where the next answer
 // is due, belong to no request.
 func TestStrayAnswers(t *testing.T) {
--- a/mesh/outcome.go
+++ b/mesh/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/valyala/fasthttp"
 
+	"github.com/toucancove/toucancove/core/member"
 	"github.com/toucancove/toucancove/core/routing"
 )
 
@@ -55,8 +56,10 @@
 	detail string
 	// reached is set if the attempt arrived at the instance.
 	reached bool
-	hint    hint
-	hinted  bool
+	// instance is the one that the attempt was made at.
+	instance member.InstanceID
+	hint     hint
+	hinted   bool
 }
 
 // refusedOutcome is that of a request that did not run.
@@ -105,6 +108,18 @@
 	return routing.Completed
 }
 
+// after returns what is known of a request once a further attempt ended with o:
+// one that did not run takes nothing back of an earlier one that may have. It
+// releases the other outcome.
+func (o outcome) after(earlier outcome) outcome {
+	if o.run == runNo && earlier.run != runNo {
+		o.release()
+		return earlier
+	}
+	earlier.release()
+	return o
+}
+
 // release gives back the reply of an outcome that is not delivered.
 func (o *outcome) release() {
 	if o.reply != nil {
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
+	"github.com/toucancove/toucancove/core/member"
 	"github.com/toucancove/toucancove/telemetry"
 )
 
@@ -60,7 +61,7 @@
 }
 
 // answered records a request that an instance answered.
-func (p *reporter) answered(r *request, status int) {
+func (p *reporter) answered(r *request, by member.InstanceID, status int) {
 	now := time.Now()
 	latency := now.Sub(r.arrived)
 	for _, series := range p.series(r) {
@@ -80,7 +81,7 @@
 		return
 	}
 	p.log.Info("request answered", "id", r.id, "route", r.route.Name, "workspace", workspaceName(r),
-		"service", r.service, "upstream", r.last, "status", status, "attempts", len(r.tried),
+		"service", r.service, "upstream", by, "status", status, "attempts", len(r.tried),
 		"took", latency.String(), "leftOut", leftOut)
 }
 
