Hold callers to the published limits; report that the machine stood still

A header of the published size and its first line did not fit, and a published idle time above 60 s would have had connections closed under callers.

A caller's connection now bounds the wait for a request by the published idle time, and the rest of the header by the published header time (408); a larger header gets 431. Bodies and runs keep the server's own limits.

Suspended time: the steady clock leaves it out. What is new is the log line "machine stood still", since nothing else explains late answers.

--- a/core/usage/election_test.go
+++ b/core/usage/election_test.go
@@ -24,12 +24,16 @@
 }
 
 type clusterNode struct {
-	id       member.InstanceID
-	upAt     time.Time
-	part     int // nodes of different parts are not in touch
-	limiter  *Limiter
-	election *Election
-	drawnAt  time.Time
+	id   member.InstanceID
+	upAt time.Time
+	part int // nodes of different parts are not in touch
+	// wakesAt is when the machine runs on that stood still from sleptAt; its
+	// steady clock is behind by all such times.
+	sleptAt, wakesAt time.Time
+	behind           time.Duration
+	limiter          *Limiter
+	election         *Election
+	drawnAt          time.Time
 }
 
 func newCluster(nodes int, w catalog.Workspace) *cluster {
@@ -53,6 +57,26 @@
 	c.nodes[i] = n
 }
 
+// clock returns the node's steady time.
+func (n *clusterNode) clock(now time.Time) time.Time { return now.Add(-n.behind) }
+
+func (n *clusterNode) sleeps(now time.Time) bool { return now.Before(n.wakesAt) }
+
+// suspend lets a node's machine stand still.
+func (n *clusterNode) suspend(now time.Time, d time.Duration) {
+	n.sleptAt, n.wakesAt = now, now.Add(d)
+}
+
+// wake sets the steady clock behind, which does not count the time that the machine
+// stood still.
+func (n *clusterNode) wake(now time.Time) {
+	if n.sleptAt.IsZero() || n.sleeps(now) {
+		return
+	}
+	n.behind += n.wakesAt.Sub(n.sleptAt)
+	n.sleptAt = time.Time{}
+}
+
 // first returns the index of the node that comes first in the election.
 func (c *cluster) first() int {
 	id, _ := member.First(c.ids, func(member.InstanceID) bool { return false })
@@ -75,51 +99,54 @@
 
 // draw asks an instance; it reports whether that answered with grants.
 func (c *cluster) draw(now time.Time, n *clusterNode, id member.InstanceID, draws []Draw) bool {
-	collector := c.find(id)
-	if now.Before(collector.upAt) || collector.part != n.part {
-		n.election.Lost(now, id, now.Before(collector.upAt))
+	collector, local := c.find(id), n.clock(now)
+	if now.Before(collector.upAt) || collector.sleeps(now) || collector.part != n.part {
+		n.election.Lost(local, id, now.Before(collector.upAt))
 		return false
 	}
-	answer := collector.election.Answer(now, string(n.id), n.election.Away(now, id), draws)
+	answer := collector.election.Answer(collector.clock(now), string(n.id), n.election.Away(local, id), draws)
 	n.election.Heard(id)
 	if answer.Collector != "" {
-		n.election.Named(now, id, answer.Collector)
+		n.election.Named(local, id, answer.Collector)
 		return false
 	}
 	c.collecting[id]++
-	n.election.Drew(now, id)
-	n.limiter.Granted(now, draws, answer.Grants)
+	n.election.Drew(local, id)
+	n.limiter.Granted(local, draws, answer.Grants)
 	return true
 }
 
 func (c *cluster) tick(now time.Time, n *clusterNode) {
-	if now.Before(n.upAt) || now.Sub(n.drawnAt) < 350*time.Millisecond {
+	n.wake(now)
+	if now.Before(n.upAt) || n.sleeps(now) || now.Sub(n.drawnAt) < 350*time.Millisecond {
 		return
 	}
 	n.drawnAt = now
-	if id, ok := n.election.Probe(now); ok {
+	local := n.clock(now)
+	if id, ok := n.election.Probe(local); ok {
 		c.draw(now, n, id, nil)
 	}
-	if id, ok := n.election.Collector(now); ok {
-		c.draw(now, n, id, n.limiter.Draws(now))
+	if id, ok := n.election.Collector(local); ok {
+		c.draw(now, n, id, n.limiter.Draws(local))
 	}
 }
 
 func (c *cluster) request(now time.Time, i int) bool {
 	n := c.nodes[i]
-	if now.Before(n.upAt) {
+	if now.Before(n.upAt) || n.sleeps(now) {
 		return false
 	}
 	for _, other := range c.nodes { // also nodes without requests draw
 		c.tick(now, other)
 	}
-	verdict, _ := n.limiter.Take(now, c.workspace.Name)
+	local := n.clock(now)
+	verdict, _ := n.limiter.Take(local, c.workspace.Name)
 	ok := verdict == Admitted
 	if verdict == Short {
-		if id, known := n.election.Collector(now); known && c.draw(now, n, id, []Draw{n.limiter.DrawFor(now, c.workspace.Name, 1)}) {
+		if id, known := n.election.Collector(local); known && c.draw(now, n, id, []Draw{n.limiter.DrawFor(local, c.workspace.Name, 1)}) {
 			ok = n.limiter.Claim(c.workspace.Name)
 		} else {
-			ok = n.limiter.ClaimAlone(now, c.workspace.Name)
+			ok = n.limiter.ClaimAlone(local, c.workspace.Name)
 		}
 	}
 	if ok {
@@ -352,3 +379,32 @@
 		t.Errorf("%.1f tokens after a stop, want at most the %.1f of the time in which the node counted", got, most)
 	}
 }
+
+// The machine of the collector stands still for some seconds in which a workspace
+// begins to send eight times its rate. Its steady clock does not count that time,
+// so its pool is as full as before when the nodes draw from it again.
+func TestSuspendedCollectorStaysWithinTheTolerance(t *testing.T) {
+	const nodes = 16
+	for _, w := range []catalog.Workspace{{Name: "even", Rate: 60, Burst: 60}, {Name: "bursty", Rate: 20, Burst: 200}} {
+		for _, asleep := range []time.Duration{2 * time.Second, 4 * time.Second, 7 * time.Second} {
+			for seed := range uint64(5) {
+				random := rand.New(rand.NewPCG(seed, 31))
+				c := newCluster(nodes, w)
+				load := 0.4
+				for now := start; now.Sub(start) < 25*time.Second; {
+					before := now.Sub(start)
+					now = now.Add(time.Duration(random.ExpFloat64() / (w.Rate * load) * float64(time.Second)))
+					passed := now.Sub(start)
+					if slept := 8 * time.Second; before < slept && passed >= slept {
+						c.nodes[c.first()].suspend(now, asleep)
+					}
+					if passed > 9*time.Second {
+						load = 8
+					}
+					c.request(now, random.IntN(nodes))
+				}
+				c.checkQuota(t, fmt.Sprintf("%s, asleep for %v, seed %d", w.Name, asleep, seed))
+			}
+		}
+	}
+}
--- a/mesh/body.go
+++ b/mesh/body.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// headerRead tells the caller's connection that the header of its request is read.
+func headerRead(ctx *fasthttp.RequestCtx) {
+	if conn, ok := ctx.Conn().(*callerConn); ok {
+		conn.headerRead()
+	}
+}
+
 // writeReply passes an answer on.
 func writeReply(ctx *fasthttp.RequestCtx, r *reply) {
 	source := r.response
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -76,6 +76,7 @@
 
 // handle serves the listener for clients and the own instance.
 func (e *entry) handle(ctx *fasthttp.RequestCtx) {
+	headerRead(ctx)
 	r := &request{arrived: time.Now(), id: string(ctx.Request.Header.Peek(e.cfg.headers.RequestID))}
 	if refused := e.identify(ctx, r); refused != nil {
 		e.refuse(ctx, r, *refused)
@@ -111,6 +112,9 @@
 	if r.route == nil {
 		return &refusal{status: fasthttp.StatusNotFound, reason: reasonNoRoute}
 	}
+	if limit := state.Catalog.Limits().HeaderBytes; limit > 0 && len(header.RawHeaders()) > limit {
+		return &refusal{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: reasonHeader, detail: "header exceeds the limit"}
+	}
 	if limit := state.Catalog.Limits().BodyBytes; limit > 0 && int64(header.ContentLength()) > limit {
 		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: reasonBody, detail: "body exceeds the limit"}
 	}
--- a/mesh/hint_test.go
+++ b/mesh/hint_test.go
@@ -51,7 +51,7 @@
 func TestWatchKeepsTheNextRequest(t *testing.T) {
 	near, far := net.Pipe()
 	defer near.Close()
-	conn := &callerConn{Conn: near}
+	conn := &callerConn{Conn: near, limits: ownLimits}
 	conn.watch(func() { t.Error("caller taken for gone") })
 	go func() { _, _ = far.Write([]byte("GET")) }()
 	time.Sleep(time.Millisecond)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -161,8 +161,9 @@
 	stopShare = 0.93
 	// drainCheck is the time between looks for running requests in a stop.
 	drainCheck = 20 * time.Millisecond
-	// expireInterval is the time between looks for expired idle connections.
-	expireInterval = time.Second
+	// houseInterval is the time between looks for expired idle connections, and
+	// for a suspension of the machine.
+	houseInterval = time.Second
 )
 
 // Run serves until ctx is done, then stops gracefully.
@@ -175,7 +176,7 @@
 	defer cancel()
 	n.follower.Start(background)
 	n.group.Go(func() { n.quota.run(background) })
-	n.group.Go(func() { n.expireIdle(background) })
+	n.group.Go(func() { n.keepHouse(background) })
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
 		go func() {
@@ -226,9 +227,15 @@
 	}
 }
 
-func (n *Node) expireIdle(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
+// keepHouse closes connections that were idle for too long, and reports that the
+// machine stood still, until ctx ends.
+func (n *Node) keepHouse(ctx context.Context) {
+	ticker := time.NewTicker(houseInterval)
 	defer ticker.Stop()
+	stood, err := newSuspension()
+	if err != nil {
+		n.log.Info("suspensions of the machine are not seen", "reason", err.Error())
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -236,6 +243,9 @@
 		case now := <-ticker.C:
 			n.guard.link.closeExpired(now)
 			n.peers.closeExpired(now, n.follower.State())
+			if d, err := stood.since(); err == nil && d > 0 {
+				n.log.Info("machine stood still", "for", d.Round(time.Millisecond).String(), "running", n.active.Load())
+			}
 		}
 	}
 }
@@ -257,10 +267,10 @@
 	idleTimeout  time.Duration
 }
 
-// defaultLimits leave room above what operators publish.
+// defaultLimits hold where operators publish none.
 func defaultLimits() serverLimits {
 	return serverLimits{
-		headerBytes:  16 << 10,
+		headerBytes:  17 << 10, // 16 KiB, the published limit as a rule, and the first line
 		bodyBytes:    64 << 20,
 		connections:  3000, // of the 3,900 sockets of a process
 		readTimeout:  20 * time.Second,
@@ -269,6 +279,17 @@
 	}
 }
 
+// published returns the limits that operators publish for callers.
+func (n *Node) published() catalog.Limits {
+	if c := n.follower.State().Catalog; c != nil {
+		return c.Limits()
+	}
+	return catalog.Limits{}
+}
+
+// ownLimits are those between nodes: none are published.
+func ownLimits() catalog.Limits { return catalog.Limits{} }
+
 // counted counts running requests.
 func (n *Node) counted(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
@@ -289,8 +310,8 @@
 		name, address string
 		serve         func(net.Listener) error
 	}{
-		{"entry", n.cfg.Listen.Entry, func(l net.Listener) error { return entryServer.Serve(callerListener{l}) }},
-		{"peer", n.cfg.Listen.Peer, func(l net.Listener) error { return guardServer.Serve(callerListener{l}) }},
+		{"entry", n.cfg.Listen.Entry, func(l net.Listener) error { return entryServer.Serve(callerListener{l, n.published}) }},
+		{"peer", n.cfg.Listen.Peer, func(l net.Listener) error { return guardServer.Serve(callerListener{l, ownLimits}) }},
 		{"ready", n.cfg.Listen.Ready, ready.Serve},
 		{"metrics", n.cfg.Listen.Metrics, metricsServer.Serve},
 		{"control", n.cfg.Listen.Control, control.Serve},
--- a/mesh/outcome.go
+++ b/mesh/outcome.go
@@ -27,6 +27,7 @@
 	reasonRejected   reason = "instance-rejected"
 	reasonWrongHost  reason = "other-instance"
 	reasonBody       reason = "bad-body"
+	reasonHeader     reason = "header-too-large"
 )
 
 // Reasons why a request that may have run has no answer.
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -222,6 +224,21 @@
 	}
 }
 
+// answerUnread answers a request whose header could not be read.
+func answerUnread(ctx *fasthttp.RequestCtx, err error) {
+	var tooLarge *fasthttp.ErrSmallBuffer
+	var failed net.Error
+	status := fasthttp.StatusBadRequest
+	switch {
+	case errors.As(err, &tooLarge):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &failed) && failed.Timeout():
+		status = fasthttp.StatusRequestTimeout
+	}
+	ctx.Response.Header.SetNoDefaultContentType(true)
+	ctx.SetStatusCode(status)
+}
+
 // newDataServer returns a server for one of the data listeners.
 func newDataServer(handler fasthttp.RequestHandler, limits serverLimits, log *serverLog) *fasthttp.Server {
 	return &fasthttp.Server{
@@ -239,6 +256,7 @@
 		ReadTimeout:                  limits.readTimeout,
 		WriteTimeout:                 limits.writeTimeout,
 		IdleTimeout:                  limits.idleTimeout,
+		ErrorHandler:                 answerUnread,
 		Logger:                       log,
 	}
 }
