--- a/mesh/node.go
+++ b/mesh/node.go
@@ -161,9 +161,9 @@
 	stopShare = 0.93
 	// drainCheck is the time between looks for running requests in a stop.
 	drainCheck = 20 * time.Millisecond
-	// houseInterval is the time between looks for expired idle connections, and
+	// maintainInterval is the time between looks for expired idle connections, and
 	// for a suspension of the machine.
-	houseInterval = time.Second
+	maintainInterval = time.Second
 )
 
 // Run serves until ctx is done, then stops gracefully.
@@ -176,7 +176,7 @@
 	defer cancel()
 	n.follower.Start(background)
 	n.group.Go(func() { n.quota.run(background) })
-	n.group.Go(func() { n.keepHouse(background) })
+	n.group.Go(func() { n.maintain(background) })
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
 		go func() {
@@ -227,10 +227,10 @@
 	}
 }
 
-// keepHouse closes connections that were idle for too long, and reports that the
+// maintain closes connections that were idle for too long, and reports that the
 // machine stood still, until ctx ends.
-func (n *Node) keepHouse(ctx context.Context) {
-	ticker := time.NewTicker(houseInterval)
+func (n *Node) maintain(ctx context.Context) {
+	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
 	stood, err := newSuspension()
 	if err != nil {
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -224,8 +224,8 @@
 	}
 }
 
-// answerUnread answers a request whose header could not be read.
-func answerUnread(ctx *fasthttp.RequestCtx, err error) {
+// answerUnreadable answers a request whose header can not be read.
+func answerUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	var tooLarge *fasthttp.ErrSmallBuffer
 	var failed net.Error
 	status := fasthttp.StatusBadRequest
@@ -256,7 +256,7 @@
 		ReadTimeout:                  limits.readTimeout,
 		WriteTimeout:                 limits.writeTimeout,
 		IdleTimeout:                  limits.idleTimeout,
-		ErrorHandler:                 answerUnread,
+		ErrorHandler:                 answerUnreadable,
 		Logger:                       log,
 	}
 }
