Send changes of the list to the nodes of a zone, not the whole

The reader of a zone answered each change with the whole list: 80 bytes an instance to each node of the zone, 1.8 MB a change at 304 nodes and about 19 MB at 2,200.

A state keeps the last 256 changes of its list, and a node that asks gets those after its revision. Removals are believed as the reader believes them. A node that knows no list, or lacks more, gets the whole one, as one of an older version does.

Ruled out as the cause: draws of quota (some 200 bytes, 850 a second).

TestReaderSendsChangesOfTheList fails before it: 300 instances for one change. TestChangesBringNodesToTheReadersList: nodes that ask at any pace come to the reader's list.

Tried and left: a watch of the caller that begins after 100 ms.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -186,20 +186,23 @@
 
 func (f *Follower) applySnapshot(now time.Time, s Snapshot, source string) {
 	f.applyConfiguration(now, s.Configuration, source)
-	if s.Revision == 0 {
-		return
-	}
-	fresh := catalog.NewDirectory(s.Revision, s.Instances)
-	if fresh.Revision() <= f.State().Revision() {
+	before := f.State().Directory
+	switch {
+	case s.Revision <= f.State().Revision():
 		return
+	case s.Partial && before == nil:
+		return // the changes of a list that is not known
+	case s.Partial:
+		f.publish(f.State().withBelieved(now, s.Revision, s.Changes, s.Holding))
+	default:
+		fresh := catalog.NewDirectory(s.Revision, s.Instances)
+		f.publish(f.State().withList(now, fresh, s.Holding || (source == sourceStore && f.keepRemoved(now))))
 	}
-	fromStore := source == sourceStore
-	before := f.State().Directory
-	f.publish(f.State().withList(now, fresh, s.Holding || (fromStore && f.keepRemoved(now))))
-	if source == sourceReader && before != nil && before.Len() == fresh.Len() {
+	if source == sourceReader && before != nil && before.Len() == f.State().Directory.Len() {
 		return // the reader logs single changes
 	}
-	f.cfg.Log.Info("list of instances read", "source", source, "revision", fresh.Revision(), "instances", fresh.Len())
+	f.cfg.Log.Info("list of instances read", "source", source, "revision", s.Revision,
+		"instances", f.State().Directory.Len(), "partial", s.Partial)
 }
 
 func (f *Follower) applyChanges(now time.Time, c Changes) {
--- a/follow/state.go
+++ b/follow/state.go
@@ -1,7 +1,9 @@
 package follow
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/toucancove/toucancove/core/catalog"
@@ -13,6 +15,10 @@
 	// two seconds of its return; one that left without notice must get no new
 	// requests two seconds after it did.
 	lapseGrace = 1700 * time.Millisecond
+	// maxChanges is the number of changes of the list that are kept for nodes that
+	// wait at this one. One that lacks more gets the whole list; a node that asks
+	// each second lacks fewer, short of a restart of a large fleet.
+	maxChanges = 256
 	// massRemoval is the part of the instances of a service whose removal at
 	// once suggests that their entries lapsed during an outage that was not
 	// noticed here.
@@ -29,6 +35,9 @@
 	CatalogAt, DirectoryAt time.Time
 
 	raw []byte
+	// changes are those of the list after the revision changesFrom, in order.
+	changes     []catalog.Change
+	changesFrom catalog.Revision
 }
 
 // Configuration returns the configuration as published.
@@ -75,6 +84,7 @@
 func (s *State) withList(now time.Time, fresh *catalog.Directory, keepRemoved bool) *State {
 	next := *s
 	next.DirectoryAt = now
+	next.changes, next.changesFrom = nil, fresh.Revision()
 	if s.Directory == nil {
 		next.Directory = fresh
 		return &next
@@ -88,15 +98,49 @@
 	if s.Directory == nil {
 		return s
 	}
+	return s.withBelieved(now, revision, changes, keepRemoved || s.removesMany(changes))
+}
+
+// withBelieved returns the state with changes of the list of which another node,
+// or withChanges, has judged whether removals are believed.
+func (s *State) withBelieved(now time.Time, revision catalog.Revision, changes []catalog.Change, keepRemoved bool) *State {
 	next := *s
-	keepRemoved = keepRemoved || s.removesMany(changes)
 	next.Directory = s.Directory.With(now, revision, changes, keepRemoved)
+	next.keepChanges(s.Revision(), changes)
 	if len(changes) > 0 {
 		next.DirectoryAt = now
 	}
 	return &next
 }
 
+// keepChanges keeps those changes that are newer than a revision.
+func (s *State) keepChanges(after catalog.Revision, changes []catalog.Change) {
+	kept := slices.Clone(s.changes)
+	for _, change := range changes {
+		if change.Revision > after {
+			kept = append(kept, change)
+		}
+	}
+	slices.SortStableFunc(kept, func(a, b catalog.Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	if over := len(kept) - maxChanges; over > 0 {
+		s.changesFrom = kept[over-1].Revision
+		kept = kept[over:]
+	}
+	s.changes = kept
+}
+
+// ChangesSince returns the changes of the list after a revision. It returns false
+// if they are not all kept.
+func (s *State) ChangesSince(revision catalog.Revision) ([]catalog.Change, bool) {
+	if s.Directory == nil || revision == 0 || revision < s.changesFrom {
+		return nil, false
+	}
+	first, _ := slices.BinarySearchFunc(s.changes, revision+1, func(c catalog.Change, r catalog.Revision) int {
+		return cmp.Compare(c.Revision, r)
+	})
+	return s.changes[first:], true
+}
+
 // removesMany reports whether the changes remove a large part of the instances
 // of a service that did not announce it.
 func (s *State) removesMany(changes []catalog.Change) bool {
--- /dev/null
+++ b/follow/state_test.go
@@ -0,0 +1,89 @@
+package follow
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+)
+
+// contents returns the list as a map.
+func contents(d *catalog.Directory) map[member.InstanceID]catalog.Instance {
+	all := make(map[member.InstanceID]catalog.Instance)
+	for _, instance := range d.Instances() {
+		all[instance.ID] = instance
+	}
+	return all
+}
+
+// A reader follows the store; nodes of its zone ask it now and then, by what they
+// know, and must come to the same list. The reader reads everything anew at times,
+// and some nodes ask so seldom that it has not kept all changes.
+func TestChangesBringNodesToTheReadersList(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 51))
+		now := time.Unix(1000, 0)
+		revision := catalog.Revision(10)
+		reader := (&State{}).withList(now, catalog.NewDirectory(revision, listed("i-0", "i-1", "i-2")), false)
+		nodes := make([]*State, 4)
+		for i := range nodes {
+			nodes[i] = reader
+		}
+		whole := 0
+		for range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			revision++
+			change := catalog.Change{ID: member.InstanceID(fmt.Sprint("i-", random.IntN(30))), Revision: revision}
+			if random.Float64() < 0.6 {
+				change.Instance = &catalog.Instance{ID: change.ID, Service: "desk", Address: fmt.Sprint("10.0.0.1:", revision)}
+			}
+			if random.Float64() < 0.005 {
+				fresh := reader.Directory.With(now, revision, []catalog.Change{change}, false)
+				reader = reader.withList(now, fresh, false)
+			} else {
+				reader = reader.withBelieved(now, revision, []catalog.Change{change}, false)
+			}
+			for i := range nodes {
+				if random.Float64() > []float64{0.5, 0.1, 0.01, 0.002}[i] {
+					continue
+				}
+				if changes, kept := reader.ChangesSince(nodes[i].Revision()); kept {
+					nodes[i] = nodes[i].withBelieved(now, reader.Revision(), changes, false)
+				} else {
+					whole++
+					nodes[i] = nodes[i].withList(now, catalog.NewDirectory(reader.Revision(), reader.Directory.Listed()), false)
+				}
+				if nodes[i].Revision() != reader.Revision() || !maps.Equal(contents(nodes[i].Directory), contents(reader.Directory)) {
+					t.Fatalf("seed %d, revision %d: node %d has another list than the reader", seed, revision, i)
+				}
+			}
+		}
+		if whole == 0 {
+			t.Errorf("seed %d: no node needed the whole list", seed)
+		}
+	}
+}
+
+func TestOnlySomeChangesAreKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := (&State{}).withList(now, catalog.NewDirectory(1, listed("a")), false)
+	for revision := catalog.Revision(2); revision < 2+2*maxChanges; revision++ {
+		s = s.withBelieved(now, revision, []catalog.Change{{ID: "a", Revision: revision, Instance: &listed("a")[0]}}, false)
+	}
+	if len(s.changes) != maxChanges {
+		t.Errorf("%d changes kept, want %d", len(s.changes), maxChanges)
+	}
+	if _, kept := s.ChangesSince(1); kept {
+		t.Error("changes since a revision whose successors are dropped")
+	}
+	if changes, kept := s.ChangesSince(s.Revision() - 3); !kept || len(changes) != 3 {
+		t.Errorf("%d changes since three before the last, kept %v", len(changes), kept)
+	}
+	if _, kept := s.ChangesSince(0); kept {
+		t.Error("changes for a node that knows no list")
+	}
+}
--- a/follow/store.go
+++ b/follow/store.go
@@ -29,6 +29,10 @@
 	// Configuration is the newest one as published, empty if there is none.
 	Configuration []byte
 	Instances     []catalog.Instance
+	// Partial is set if Changes holds what changed since the known revision, in
+	// place of Instances.
+	Partial bool
+	Changes []catalog.Change
 	// Holding is set if the peer that answers does not believe all removals
 	// yet, see catalog.Directory.
 	Holding bool
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -135,23 +135,43 @@
 // Published implements follow.Peer.
 func (c *controlClients) Published(ctx context.Context, address string, known follow.Known) (follow.Snapshot, error) {
 	answer, err := c.client(address).Published(ctx, &meshpb.PublishedRequest{
-		Version: uint64(known.Version), Revision: uint64(known.Revision), WaitMs: uint32(known.Wait.Milliseconds()),
+		Version: uint64(known.Version), Revision: uint64(known.Revision), WaitMs: uint32(known.Wait.Milliseconds()), TakesChanges: true,
 	})
 	if err != nil {
 		return follow.Snapshot{}, err
 	}
 	snapshot := follow.Snapshot{
 		Revision: catalog.Revision(answer.Revision), Configuration: answer.Configuration, Holding: answer.Holding,
+		Partial: answer.Partial,
 	}
 	for _, i := range answer.Instances {
-		snapshot.Instances = append(snapshot.Instances, catalog.Instance{
-			ID: member.InstanceID(i.Id), Service: i.Service, Address: i.Address, Zone: member.Zone(i.Zone),
-			Slots: int(i.Slots), Boot: member.BootID(i.BootId), Draining: i.Draining,
-		})
+		snapshot.Instances = append(snapshot.Instances, instanceFrom(i))
+	}
+	for _, c := range answer.Changes {
+		change := catalog.Change{ID: member.InstanceID(c.Id), Revision: catalog.Revision(c.Revision)}
+		if c.Instance != nil {
+			instance := instanceFrom(c.Instance)
+			change.Instance = &instance
+		}
+		snapshot.Changes = append(snapshot.Changes, change)
 	}
 	return snapshot, nil
 }
 
+func instanceFrom(i *meshpb.Instance) catalog.Instance {
+	return catalog.Instance{
+		ID: member.InstanceID(i.Id), Service: i.Service, Address: i.Address, Zone: member.Zone(i.Zone),
+		Slots: int(i.Slots), Boot: member.BootID(i.BootId), Draining: i.Draining,
+	}
+}
+
+func instanceMessage(i *catalog.Instance) *meshpb.Instance {
+	return &meshpb.Instance{
+		Id: string(i.ID), Service: i.Service, Address: i.Address, Zone: string(i.Zone),
+		Slots: uint32(max(i.Slots, 0)), BootId: uint64(i.Boot), Draining: i.Draining,
+	}
+}
+
 // controlService answers control calls of other nodes.
 type controlService struct {
 	follower *follow.Follower
@@ -183,15 +203,27 @@
 		return answer, nil
 	}
 	answer.Revision, answer.Holding = uint64(state.Revision()), state.Directory.Holding()
+	if changes, kept := state.ChangesSince(catalog.Revision(in.Revision)); kept && in.TakesChanges {
+		answer.Partial = true
+		for i := range changes {
+			answer.Changes = append(answer.Changes, changeMessage(&changes[i]))
+		}
+		return answer, nil
+	}
 	for _, i := range state.Directory.Listed() {
-		answer.Instances = append(answer.Instances, &meshpb.Instance{
-			Id: string(i.ID), Service: i.Service, Address: i.Address, Zone: string(i.Zone),
-			Slots: uint32(max(i.Slots, 0)), BootId: uint64(i.Boot), Draining: i.Draining,
-		})
+		answer.Instances = append(answer.Instances, instanceMessage(&i))
 	}
 	return answer, nil
 }
 
+func changeMessage(c *catalog.Change) *meshpb.Change {
+	message := &meshpb.Change{Id: string(c.ID), Revision: uint64(c.Revision)}
+	if c.Instance != nil {
+		message.Instance = instanceMessage(c.Instance)
+	}
+	return message
+}
+
 // wait returns once the node knows something newer, or the time is over.
 func (s *controlService) wait(ctx context.Context, in *meshpb.PublishedRequest) error {
 	timer := time.NewTimer(time.Duration(in.WaitMs) * time.Millisecond)
--- /dev/null
+++ b/mesh/peers_test.go
@@ -0,0 +1,51 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/member"
+	"github.com/toucancove/toucancove/peer/meshpb"
+)
+
+// One instance of a large fleet drains. A node that waits at the reader of its zone
+// gets that, and one that knows nothing the whole list.
+func TestReaderSendsChangesOfTheList(t *testing.T) {
+	r, _ := startRig(t, ok)
+	var large []catalog.Instance
+	for i := range 300 {
+		large = append(large, catalog.Instance{
+			ID: member.InstanceID(fmt.Sprint("l-", i)), Service: "far", Address: fmt.Sprintf("10.9.%d.%d:8080", i/200, i%200+1), Zone: "z2", Slots: 10,
+		})
+	}
+	r.store.publish(func(s *memoryStore) { s.instances = append(s.instances, large...) })
+	service := &controlService{follower: r.nodes[0].follower, quota: r.nodes[0].quota, leaving: &r.nodes[0].leaving}
+	r.eventually("the list is in force", func() bool { return r.nodes[0].follower.State().Directory.Len() > len(large) })
+	ask := func(revision catalog.Revision) *meshpb.PublishedReply {
+		reply, err := service.Published(context.Background(), &meshpb.PublishedRequest{Version: 1, Revision: uint64(revision), TakesChanges: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+	before := r.nodes[0].follower.State().Revision()
+	whole := ask(0)
+	if whole.Partial || len(whole.Instances) != len(large)+1 {
+		t.Errorf("%d instances, partial %v, want the whole list", len(whole.Instances), whole.Partial)
+	}
+	drained := large[7]
+	drained.Draining = true
+	r.store.change(catalog.Change{ID: drained.ID, Instance: &drained})
+	r.eventually("the change is in force", func() bool { return r.nodes[0].follower.State().Revision() > before })
+	changes := ask(before)
+	if !changes.Partial || len(changes.Changes) != 1 || !changes.Changes[0].Instance.GetDraining() || len(changes.Instances) > 0 {
+		t.Errorf("partial %v with %d changes and %d instances, want one change", changes.Partial, len(changes.Changes), len(changes.Instances))
+	}
+	if size := proto.Size(changes); size > proto.Size(whole)/100 {
+		t.Errorf("%d bytes for one change of a list of %d", size, proto.Size(whole))
+	}
+}
--- a/mesh/rig_test.go
+++ b/mesh/rig_test.go
@@ -35,6 +35,16 @@
 	instances  []catalog.Instance
 	revision   catalog.Revision
 	changed    chan struct{}
+	// changes are the single changes of the list, which a watch shows.
+	changes []catalog.Change
+}
+
+// change publishes one change of the list.
+func (s *memoryStore) change(c catalog.Change) {
+	s.publish(func(s *memoryStore) {
+		c.Revision = s.revision + 1
+		s.changes = append(s.changes, c)
+	})
 }
 
 func (s *memoryStore) publish(change func(*memoryStore)) {
@@ -59,8 +69,11 @@
 // Watch has everything read again when something changed.
 func (s *memoryStore) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) (follow.Changes, error) {
 	s.mu.Lock()
-	changed, revision := s.changed, s.revision
+	changed, revision, changes := s.changed, s.revision, s.changes
 	s.mu.Unlock()
+	if n := len(changes); n > 0 && changes[n-1].Revision == after+1 {
+		return follow.Changes{Revision: after + 1, Instances: changes[n-1:]}, nil
+	}
 	if revision > after {
 		return follow.Changes{}, follow.ErrHistoryLost
 	}
@@ -68,7 +81,7 @@
 	defer timer.Stop()
 	select {
 	case <-changed:
-		return follow.Changes{}, follow.ErrHistoryLost
+		return follow.Changes{Revision: after}, nil // the next watch shows it
 	case <-timer.C:
 		return follow.Changes{Revision: after}, nil
 	case <-ctx.Done():
