Do not take back a pool that was handed over; do not wait long for a lost one

In the simulation, a node that stood in for a lost pooler also held asks for it for 150 ms, which is when entries turn to the next one.

--- a/core/quota/pooler.go
+++ b/core/quota/pooler.go
@@ -21,6 +21,8 @@
 	takingOver   bool
 	takeoverFrom member.InstanceID
 	takeoverAt   time.Duration
+	// takeoverEnds is when asks are answered without its answer.
+	takeoverEnds time.Duration
 	// successor took over what this pooler held, at handedAt.
 	successor member.InstanceID
 	handedAt  time.Duration
@@ -37,18 +39,18 @@
 		w.pooler.usedUntil = min(w.pooler.usedUntil, now)
 	}
 	if next == n.id {
-		n.takeOver(now, w, before)
+		n.takeOver(now, w, before, n.timing.SilentAfter)
 	}
 }
 
 // takeOver pulls what another pooler holds, unless it has just done so: the
 // second answer would bring little, and may come first.
-func (n *Node) takeOver(now time.Duration, w *workspaceState, from member.InstanceID) {
+func (n *Node) takeOver(now time.Duration, w *workspaceState, from member.InstanceID, wait time.Duration) {
 	if w.pooler.takeoverFrom == from && now < w.pooler.takeoverAt+n.timing.SilentAfter {
 		return
 	}
 	w.pooler.takingOver, w.pooler.takeoverAt, w.pooler.takeoverFrom = true, now, from
-	w.pooler.successor = ""
+	w.pooler.takeoverEnds, w.pooler.successor = now+wait, ""
 	n.send(from, &Pull{Workspace: w.name, Nonce: n.nonces.issue(now), Kind: PullAll, Ahead: n.timing.Horizon})
 }
 
@@ -79,11 +81,11 @@
 func (n *Node) handleAsk(now time.Duration, from member.InstanceID, w *workspaceState, m *Ask) {
 	p := &w.pooler
 	switch {
+	case n.hasSuccessor(now, w) && (m.Origin == "" || m.Wait > 0):
+		n.passOn(now, w, heldAsk{from: origin(from, m), ask: m, at: now})
+		return
 	case m.Origin != "":
 		from = m.Origin
-	case n.hasSuccessor(now, w):
-		n.passOn(now, w, heldAsk{from: from, ask: m, at: now})
-		return
 	}
 	if n.leaving {
 		n.send(from, &Leaving{Workspace: w.name})
@@ -106,6 +108,14 @@
 	}
 }
 
+// origin returns the entry that an ask is of.
+func origin(from member.InstanceID, m *Ask) member.InstanceID {
+	if m.Origin != "" {
+		return m.Origin
+	}
+	return from
+}
+
 // handOver stops pooling, remembers the pooler that has pulled everything and
 // passes the asks on that wait here.
 func (n *Node) handOver(now time.Duration, w *workspaceState, to member.InstanceID) {
@@ -127,11 +137,15 @@
 	return p.successor != "" && now < p.handedAt+n.timing.HoldOff && now >= n.suspects[p.successor]
 }
 
+// passOnTime is what one more way takes of the time that an entry waits, so that
+// an ask is passed on a few times at most.
+const passOnTime = 10 * time.Millisecond
+
 // passOn lets the successor answer an ask.
 func (n *Node) passOn(now time.Duration, w *workspaceState, h heldAsk) {
 	ask := *h.ask
 	ask.Origin = h.from
-	ask.Wait = max(ask.Wait-(now-h.at), 0)
+	ask.Wait = max(ask.Wait-max(now-h.at, passOnTime), 0)
 	ask.Margin += now - h.at
 	n.send(w.pooler.successor, &ask)
 }
@@ -284,13 +298,21 @@
 			s.notBefore = now + renewBefore/2
 		}
 	}
-	if m.Previous != "" && m.Previous != n.id && now >= n.suspects[m.Previous] {
-		// This node restarted, or turned from a pooler that was only slow.
-		n.takeOver(now, w, m.Previous)
+	if n.takesOverFrom(now, w, m.Previous) {
+		// It may be lost: entries turn away if their asks are held for longer.
+		n.takeOver(now, w, m.Previous, n.timing.AskTimeout)
 	}
 	n.answerHeld(now, w)
 }
 
+// takesOverFrom reports whether this node should take over from the pooler that a
+// minter handed its tokens to before: it restarted, or turned from one that was
+// only slow. It does not if it has itself just handed over, or leaves: then the
+// stream answers a pull of before that.
+func (n *Node) takesOverFrom(now time.Duration, w *workspaceState, previous member.InstanceID) bool {
+	return previous != "" && previous != n.id && !n.leaving && !n.hasSuccessor(now, w) && now >= n.suspects[previous]
+}
+
 // answerHeld answers held asks in order. Those that can't be met wait while a
 // pull is outstanding.
 func (n *Node) answerHeld(now time.Duration, w *workspaceState) {
@@ -307,7 +329,7 @@
 	if now < w.pooler.usedUntil {
 		n.pullDue(now, w)
 	}
-	if now >= w.pooler.takeoverAt+n.timing.SilentAfter {
+	if now >= w.pooler.takeoverEnds {
 		w.pooler.takingOver = false
 	}
 	n.answerHeld(now, w)
@@ -328,7 +350,7 @@
 		at = min(at, due)
 	}
 	if p.takingOver {
-		at = min(at, p.takeoverAt+n.timing.SilentAfter)
+		at = min(at, p.takeoverEnds)
 	}
 	return max(at, now), true
 }
--- a/core/quota/takeover_test.go
+++ b/core/quota/takeover_test.go
@@ -100,3 +100,31 @@
 		}
 	}
 }
+
+// TestHandedOverIsNotTakenBack hands a pool over while an answer of a minter is
+// under way, which was asked before and names the new pooler. It also lets the old
+// one leave.
+func TestHandedOverIsNotTakenBack(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		s := newSim(1, 3, Limit{Rate: 100 * PerSecond, Burst: 50}, quickTiming(3), buildNode)
+		s.runUntil(2 * time.Second)
+		order := rendezvous(testWorkspace, s.members, 3)
+		old, successor, minter := s.nodes[s.index(order[0])], order[1], order[2]
+		s.on(old, func() {
+			_, _ = old.d.Ask(s.time(), testWorkspace, 1, time.Second, &old.fx)
+		})
+		var fx Effects
+		if leaving {
+			old.d.(*Node).Leave(s.time(), &fx)
+		}
+		old.d.Handle(s.time(), successor, &Pull{Workspace: testWorkspace, Nonce: Nonce{Boot: 9, Seq: 1}, Kind: PullAll}, &fx)
+		fx.Reset()
+		nonce := old.d.(*Node).nonces.issue(s.now)
+		old.d.Handle(s.time(), minter, &Stream{Workspace: testWorkspace, Nonce: nonce, Previous: successor}, &fx)
+		for _, m := range fx.Sends {
+			if pull, ok := m.Message.(*Pull); ok && pull.Kind == PullAll {
+				t.Errorf("leaving %v: takes back what it handed over", leaving)
+			}
+		}
+	}
+}
