--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -34,6 +34,11 @@
 // counts spendable time from receipt and expiry from the issue of the nonce,
 // so that transit and pauses can only shorten the life of a token.
 //
+// A pooler that is taken over from hands all it holds to its successor, and
+// passes asks on that still reach it; the successor answers the entry. Minters
+// name the pooler that they handed their minting to before, so that a node that
+// becomes the pooler knows whom to take over from.
+//
 // A pooler holds the next Horizon of minting, so it promises tokens that are
 // minted within the wait that the entry allows, and refuses at once when there
 // are none. No request is held once it has been refused.
