Log which requests ran at an instance as it crashed

The logs of the incident could not tell its hypotheses apart: a crash looked like one lost response, and no line named a request across attempts.

The guard now finds out after a lost response whether its instance has crashed: no idle connection to it is open and a new one is refused, or another start of it is listed. The line "instance crashed" tells the instance and how many requests ran there; lost responses carry the digest of method, host, path with query, workspace and body. Requests that the same start of the instance has served before are no suspects. Nothing is refused by it yet.

--- /dev/null
+++ b/core/quarantine/gate.go
@@ -0,0 +1,260 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/toucancove/toucancove/core/member"
+)
+
+const (
+	// lossWindow is how long a lost response can still turn out to be due to a crash.
+	// An instance that was not seen to refuse connections is listed again under
+	// another start a few seconds later.
+	lossWindow = 10 * time.Second
+	// firstTrialDelay is the time from the second crash to the trial of a request in
+	// quarantine, trialBackoff the factor for each further crash.
+	firstTrialDelay = 10 * time.Minute
+	trialBackoff    = 6
+	// maxTrialCrashes is the number of crashes after which there is no further trial.
+	maxTrialCrashes = 4
+)
+
+// Verdict is the decision about a request at the gate of an instance.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Pass lets the request run.
+	Pass Verdict = iota
+	// Busy refuses a suspect: another one is running.
+	Busy
+	// Elsewhere refuses a suspect at the instance that it may have crashed. Another
+	// instance may run it.
+	Elsewhere
+	// Refuse refuses a request in quarantine.
+	Refuse
+)
+
+// Run is a request that runs at an instance.
+type Run struct {
+	request *Request
+	began   time.Time
+	// crashes is the number of crashes that counted against the request as it began.
+	crashes int
+}
+
+// loss is a lost response. served is set if the instance had served the request before.
+type loss struct {
+	request *Request
+	at      time.Time
+	served  bool
+}
+
+// Gate decides which requests an instance runs, and finds out which of them were
+// running when it crashed. It is not safe for concurrent use.
+type Gate struct {
+	table  *Table
+	served *servedRequests
+	// instance is the current start of the instance, peers the instances of its
+	// service that take requests.
+	instance Crash
+	peers    []member.InstanceID
+	running  map[*Run]struct{}
+	// lost are the responses that were lost since the start of the last run to which
+	// the instance has responded.
+	lost []loss
+	// ended is set once this start of the instance has crashed.
+	ended bool
+}
+
+// NewGate returns a gate that marks and looks up requests in a table.
+func NewGate(table *Table) *Gate {
+	return &Gate{table: table, served: newServedRequests(), running: make(map[*Run]struct{})}
+}
+
+// SetPeers sets the instances of the service that take requests.
+func (g *Gate) SetPeers(ids []member.InstanceID) { g.peers = ids }
+
+// Started sets the current start of the instance. If the former one lost responses, it
+// has crashed.
+func (g *Gate) Started(now time.Time, instance Crash) (crash Crash, marked []Change) {
+	if instance == g.instance {
+		return Crash{}, nil
+	}
+	if !g.ended && g.hasLosses(now) {
+		crash, marked = g.Ended(now)
+	}
+	g.instance, g.lost, g.ended = instance, nil, false
+	g.served.reset()
+	return crash, marked
+}
+
+// hasLosses reports whether responses were lost recently. Runs in flight alone say
+// nothing.
+func (g *Gate) hasLosses(now time.Time) bool {
+	return slices.ContainsFunc(g.lost, func(l loss) bool { return now.Sub(l.at) <= lossWindow })
+}
+
+// Check decides about a request that has arrived, without starting it.
+func (g *Gate) Check(now time.Time, r *Request) (Verdict, Change) {
+	if g.table.Len() == 0 {
+		return Pass, Change{}
+	}
+	d := r.Digest()
+	st := g.table.standing(now, d)
+	switch {
+	case st.crashes == 0:
+		return Pass, Change{}
+	case g.served.recently(now, r):
+		return Pass, g.table.Clear(d, SourceServed)
+	case st.crashes >= quarantineCrashes && !g.trialDue(now, d, st):
+		return Refuse, Change{}
+	case st.crashes == 1 && st.own && g.hasPeers():
+		return Elsewhere, Change{}
+	case g.suspectRuns():
+		return Busy, Change{}
+	}
+	return Pass, Change{}
+}
+
+// Begin starts a request that Check has passed.
+func (g *Gate) Begin(now time.Time, r *Request) *Run {
+	run := &Run{request: r, began: now, crashes: g.crashes(now, r)}
+	g.running[run] = struct{}{}
+	return run
+}
+
+// crashes returns the number of crashes that count against a request.
+func (g *Gate) crashes(now time.Time, r *Request) int {
+	if g.table.Len() == 0 {
+		return 0
+	}
+	return g.table.standing(now, r.Digest()).crashes
+}
+
+// hasPeers reports whether another instance of the service takes requests.
+func (g *Gate) hasPeers() bool {
+	return slices.ContainsFunc(g.peers, func(id member.InstanceID) bool { return id != g.instance.Instance })
+}
+
+func (g *Gate) suspectRuns() bool {
+	for run := range g.running {
+		if run.crashes > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// trialDue reports whether this instance runs a request in quarantine once more.
+func (g *Gate) trialDue(now time.Time, d Digest, st standing) bool {
+	if st.crashes > maxTrialCrashes {
+		return false
+	}
+	delay := firstTrialDelay
+	for n := quarantineCrashes; n < st.crashes; n++ {
+		delay *= trialBackoff
+	}
+	return now.Sub(st.last) >= delay && g.isTester(d)
+}
+
+// isTester reports whether this instance is the one that tries the request. Nodes with
+// the same list agree on it, and different requests have different ones.
+func (g *Gate) isTester(d Digest) bool {
+	weight := func(id member.InstanceID) uint64 { return xxhash.Sum64String(d.String() + string(id)) }
+	own := weight(g.instance.Instance)
+	return !slices.ContainsFunc(g.peers, func(id member.InstanceID) bool { return weight(id) < own })
+}
+
+// Served records that the instance has responded to a run.
+func (g *Gate) Served(now time.Time, run *Run) Change {
+	delete(g.running, run)
+	g.ended = false
+	g.lost = slices.DeleteFunc(g.lost, func(l loss) bool { return l.at.Before(run.began) })
+	g.served.add(now, run.request)
+	if g.table.Len() == 0 {
+		return Change{}
+	}
+	return g.table.Clear(run.request.Digest(), SourceServed)
+}
+
+// Abandoned records that a run ended without evidence about the instance.
+func (g *Gate) Abandoned(run *Run) { delete(g.running, run) }
+
+// Lost records that the response to a run was lost, although the instance did not leave
+// as planned. It reports whether the crash of the instance is known already.
+func (g *Gate) Lost(now time.Time, run *Run) (crashed bool) {
+	delete(g.running, run)
+	if g.ended {
+		return true
+	}
+	served := g.served.recently(now, run.request)
+	run.request.release()
+	g.lost = append(g.lost, loss{request: run.request, at: now, served: served})
+	return false
+}
+
+// HasEnded reports whether the instance has crashed and has not responded since.
+func (g *Gate) HasEnded() bool { return g.ended }
+
+// Ended records that the instance has crashed, and marks the suspects.
+func (g *Gate) Ended(now time.Time) (Crash, []Change) {
+	if g.ended || g.instance.Instance == "" {
+		return Crash{}, nil
+	}
+	g.ended = true
+	var marked []Change
+	for _, r := range g.suspects(now) {
+		marked = append(marked, g.table.Add(now, Mark{Digest: r.Digest(), Crash: g.instance, Source: SourceOwn}))
+	}
+	g.lost = nil
+	return g.instance, marked
+}
+
+// suspects returns the requests that may have crashed the instance: those that were
+// suspects before, or else all that ran and that it had not served before.
+func (g *Gate) suspects(now time.Time) []*Request {
+	var all, known []*Request
+	add := func(r *Request, served bool) {
+		switch {
+		case served:
+		case g.crashes(now, r) > 0:
+			known = append(known, r)
+		default:
+			all = append(all, r)
+		}
+	}
+	for _, l := range g.lost {
+		if now.Sub(l.at) <= lossWindow {
+			add(l.request, l.served)
+		}
+	}
+	for run := range g.running {
+		add(run.request, g.served.recently(now, run.request))
+	}
+	if len(known) > 0 {
+		return known
+	}
+	return all
+}
+
+// Stop returns the runs of requests that have been put in quarantine meanwhile. Their
+// connections should be closed, which ends them at most instances before they crash.
+func (g *Gate) Stop(now time.Time) []*Run {
+	var stop []*Run
+	for run := range g.running {
+		r := run.request
+		if n := g.crashes(now, r); n < quarantineCrashes || n == run.crashes {
+			continue
+		}
+		if g.served.recently(now, r) {
+			g.table.Clear(r.Digest(), SourceServed)
+			continue
+		}
+		stop = append(stop, run)
+	}
+	return stop
+}
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/toucancove/toucancove/core/catalog"
 	"github.com/toucancove/toucancove/core/member"
+	"github.com/toucancove/toucancove/core/quarantine"
 	"github.com/toucancove/toucancove/follow"
 )
 
@@ -77,6 +78,8 @@
 
 	out  *fasthttp.Request
 	body *body
+	// identity identifies the request when it comes again; nil until it is needed.
+	identity *quarantine.Request
 	// sent is the number of instances that received the request.
 	sent int
 	// tried lists the instances of all attempts.
@@ -200,6 +203,14 @@
 	}
 }
 
+// identity returns what identifies a request that has been prepared.
+func (e *entry) identity(r *request) *quarantine.Request {
+	if r.identity == nil {
+		r.identity = identify(&r.out.Header, e.cfg.headers, r.body)
+	}
+	return r.identity
+}
+
 // finish sends the response to the caller.
 func (e *entry) finish(ctx *fasthttp.RequestCtx, r *request, o outcome) {
 	if o.response != nil && o.run == runYes {
@@ -221,6 +232,9 @@
 // finalRefusal returns the refusal of a request that got no response of an instance.
 func (e *entry) finalRefusal(r *request, o *outcome) refusal {
 	refused := refusal{reason: o.reason, detail: o.detail, run: o.run}
+	if o.reason.needsDigest() {
+		refused.digest = e.identity(r).Digest().String()
+	}
 	switch {
 	case o.run == runNo:
 		refused.status = fasthttp.StatusServiceUnavailable
@@ -298,6 +312,7 @@
 	if target.own {
 		return e.cfg.guard.run(ctx, guardRequest{
 			request: r.out, info: info, route: r.route.Name, atMostOnce: !r.route.Kind.Repeatable(), deadline: r.deadline,
+			identity: e.identity(r),
 		})
 	}
 	left := time.Until(r.deadline)
--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/quarantine"
 	"github.com/toucancove/toucancove/core/slots"
 	"github.com/toucancove/toucancove/follow"
 )
@@ -45,6 +46,8 @@
 	closed  *atomic.Bool
 	calls   *callTracker
 	report  *reporter
+	// quarantines finds the requests that crash the own instance.
+	quarantines *quarantines
 	// observeVersions is called with the versions that a peer sent.
 	observeVersions func(address string, v versions)
 }
@@ -72,8 +75,11 @@
 	announced announcements
 	// responded is set once the own instance has responded to this node.
 	responded bool
-	// draining is set while the list marks the own instance as draining.
-	draining atomic.Bool
+	// crashCheck is the check under way whether the own instance has crashed.
+	crashCheck *crashCheck
+	// listed is set while the own instance is listed, draining while the list marks it
+	// as draining.
+	listed, draining atomic.Bool
 	// instanceLeaving is set once the own instance has announced that it leaves.
 	instanceLeaving atomic.Bool
 }
@@ -93,6 +99,8 @@
 	route      string
 	atMostOnce bool
 	deadline   time.Time
+	// identity identifies the request when it comes again.
+	identity *quarantine.Request
 }
 
 // stateChanged applies the published slots and draining state of the own instance,
@@ -101,10 +109,12 @@
 	g.cfg.calls.stateChanged(state)
 	g.deleteRemovedRoutes(state)
 	own, listed := g.ownInstance(state)
+	g.listed.Store(listed)
 	g.draining.Store(listed && own.Draining)
 	if !listed {
 		return
 	}
+	g.cfg.quarantines.started(quarantine.Crash{Instance: own.ID, Boot: own.Boot})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue.SetSlots(own.Slots)
@@ -271,12 +281,12 @@
 	g.cfg.calls.begin(p)
 	defer g.cfg.calls.end(p)
 	sent := time.Now()
+	run := g.cfg.quarantines.begin(c.identity)
 	received, err := g.pool.exchange(ctx, c.request, exchangeOptions{deadline: c.deadline, atMostOnce: c.atMostOnce})
-	if err != nil {
-		return exchangeFailure(ctx, err)
+	if err == nil {
+		g.observeAnnouncements(sent, received)
 	}
-	g.observeAnnouncements(sent, received)
-	return classifyResponse(received, g.cfg.headers.NotRun)
+	return g.endRun(ctx, run, received, err)
 }
 
 // exchangeFailure returns the outcome of an exchange without a response.
@@ -340,6 +350,7 @@
 		g.write(ctx, c, refusedOutcome(reasonBadBody, err.Error()), arrived)
 		return
 	}
+	c.identity = identify(&request.Header, g.cfg.headers, body)
 	body.attach(request)
 	requestCtx, end := watchCaller(ctx, body)
 	o := g.run(requestCtx, c)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -80,6 +80,8 @@
 	guard    *guard
 	peers    *peers
 	entry    *entry
+	// quarantines holds the requests that crash instances.
+	quarantines *quarantines
 	// The steps of a planned stop: leaving is set when it begins, announced once
 	// the guard reports it to other nodes, guardClosed once the guard refuses
 	// their requests, and entryClosed once the entry refuses requests of clients.
@@ -118,6 +120,7 @@
 	}
 	report := newReporter(cfg.Headers, cfg.Log, n.metrics)
 	calls := newCallTracker()
+	n.quarantines = newQuarantines(cfg.Log, n.metrics)
 	n.routes = newRoutes(cfg.Zone, cfg.Upstream, cfg.Retries)
 	report.observeLatency = n.routes.observeLatency
 	n.gates = newGates(n.routes)
@@ -126,7 +129,7 @@
 	n.peers = newPeers(cfg.Headers, peerAddress.Port(), observeVersions)
 	n.guard = newGuard(guardConfig{
 		headers: cfg.Headers, address: cfg.Upstream, state: n.follower.State, leaving: &n.announced, closed: &n.guardClosed,
-		calls: calls, report: report, observeVersions: observeVersions,
+		calls: calls, report: report, quarantines: n.quarantines, observeVersions: observeVersions,
 	})
 	n.entry = &entry{cfg: entryConfig{
 		headers: cfg.Headers, service: cfg.Service, nodeIP: net.IP(peerAddress.Addr().AsSlice()), state: n.follower.State,
--- a/mesh/outcome.go
+++ b/mesh/outcome.go
@@ -33,12 +33,18 @@
 
 // Reasons why a request that may have run has no response.
 const (
-	reasonResponseLost reason = "answer-lost"
-	reasonTimeout      reason = "timeout"
-	reasonCallerGone   reason = "caller-gone"
-	reasonInternal     reason = "internal"
+	reasonResponseLost    reason = "answer-lost"
+	reasonInstanceCrashed reason = "instance-crashed"
+	reasonTimeout         reason = "timeout"
+	reasonCallerGone      reason = "caller-gone"
+	reasonInternal        reason = "internal"
 )
 
+// needsDigest reports whether log lines with the reason name the digest of the request.
+func (r reason) needsDigest() bool {
+	return r == reasonResponseLost || r == reasonInstanceCrashed
+}
+
 // run is whether a request has run, ordered by certainty.
 type run uint8
 
@@ -100,7 +106,7 @@
 		return routing.ConnectFailed
 	case reasonTimeout:
 		return routing.TimedOut
-	case reasonResponseLost, reasonInternal:
+	case reasonResponseLost, reasonInstanceCrashed, reasonInternal:
 		return routing.Lost
 	case reasonCallerGone:
 		return routing.Abandoned
--- a/mesh/refusal.go
+++ b/mesh/refusal.go
@@ -12,6 +12,8 @@
 	status int
 	reason reason
 	detail string
+	// digest is that of the request, empty unless the reason needs it.
+	digest string
 	run    run
 	// retryAfter is the Retry-After time, 0 for no such header.
 	retryAfter time.Duration
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/toucancove/toucancove/core/member"
+	"github.com/toucancove/toucancove/core/quarantine"
 	"github.com/toucancove/toucancove/telemetry"
 )
 
@@ -121,6 +122,9 @@
 	if refused.retryAfter > 0 {
 		values = append(values, "retryAfter", refused.retryAfter.Round(time.Millisecond).String())
 	}
+	if refused.digest != "" {
+		values = append(values, "digest", refused.digest)
+	}
 	if refused.detail != "" {
 		values = append(values, "detail", refused.detail)
 	}
@@ -154,7 +158,17 @@
 	}
 	p.log.Info("guard turned request away", "id", string(ctx.Request.Header.Peek(p.headers.RequestID)),
 		"reason", o.reason, "ran", o.run.String(), "route", c.route, "rank", int(c.info.Rank), "call", c.info.Call,
-		"pressure", o.hint.Own, "chainPressure", o.hint.Chain, "took", took.String(), "detail", o.detail, "leftOut", suppressed)
+		"pressure", o.hint.Own, "chainPressure", o.hint.Chain, "took", took.String(), "digest", digestText(o, c.identity),
+		"detail", o.detail, "leftOut", suppressed)
+}
+
+// digestText returns the digest of a request under which the instance crashed or that is
+// kept from it, as it appears in log lines, and "" for others.
+func digestText(o *outcome, r *quarantine.Request) string {
+	if r == nil || !o.reason.needsDigest() {
+		return ""
+	}
+	return r.Digest().String()
 }
 
 // announced records what the own instance newly said of itself.
