Don't count refused connections as sends to an instance

Requests that instances had no part in were refused (connect-failed) while several instances were down after crashes: a guard whose instance refuses the connection reported the request as one that had reached it. Two such answers used up MaxAttempts, although others were up.

It is certain only for a refused connection; a connect that times out stays as it was.

--- a/mesh/guardcrash.go
+++ b/mesh/guardcrash.go
@@ -43,9 +43,12 @@
 			o.reason = reasonInstanceCrashed
 		}
 		return o
-	case errors.Is(err, syscall.ECONNREFUSED) && g.mayCrash():
+	case errors.Is(err, syscall.ECONNREFUSED):
+		o.reason = reasonInstanceDown
 		g.cfg.quarantines.abandoned(run)
-		g.cfg.quarantines.crashed()
+		if g.mayCrash() {
+			g.cfg.quarantines.crashed()
+		}
 	default:
 		g.cfg.quarantines.abandoned(run)
 	}
--- a/mesh/outcome.go
+++ b/mesh/outcome.go
@@ -25,6 +25,7 @@
 	reasonLeaving            reason = "node-leaving"
 	reasonNoInstance         reason = "no-instance"
 	reasonConnectFailed      reason = "connect-failed"
+	reasonInstanceDown       reason = "instance-down"
 	reasonRejected           reason = "instance-rejected"
 	reasonMisdirected        reason = "other-instance"
 	reasonBadBody            reason = "bad-body"
@@ -102,7 +103,7 @@
 		// The guard keeps the running requests below the slots, so a healthy
 		// instance has no reason to reject one.
 		return routing.Failed
-	case reasonConnectFailed, reasonMisdirected, reasonDraining, reasonLeaving:
+	case reasonConnectFailed, reasonInstanceDown, reasonMisdirected, reasonDraining, reasonLeaving:
 		return routing.ConnectFailed
 	case reasonTimeout:
 		return routing.TimedOut
