Quarantine requests that crash the instances that run them

Cause: nothing recognized a request across client attempts, and what a crash taught was kept about the instance, which comes back under a new id.

Design (core/quarantine, without I/O): - Evidence: a response is lost and the instance is found ended: no idle connection is open and a new one is refused, or another start is listed. A response to a later request withdraws it, and so do planned ends. All that ran are marked, but what the same start had served, and only the suspects known before if there are any. - Suspects run one at a time at an instance, and not where they crashed. - Two crashes of different starts quarantine a request; three if another instance that did not run it crashed within 5 s. A complete response clears its marks. Runs of a request that enters quarantine are closed. - Spread: marks are a two-phase set. A crash is told at once to the nodes of the service and to the collector of the quota; the rest rides on the draws (every 350 ms) as what the other side lacks, and on the request itself. - Answer: 503 where this attempt has not run, else 502; no further instance. - End: one instance, the same in all views, tries again after 10 min, 1 h and 6 h, no more after five crashes.

Ruled out: counting at entries only (a restarted entry knows nothing, the guard does); two crashes without a further condition (a mass crash over a second quarantined one innocent request); distance between crashes in time.

Run at the same time, the four cases overloaded a busy machine (504 after the route's timeout), so they run one after the other.

--- a/core/quarantine/gate.go
+++ b/core/quarantine/gate.go
@@ -110,11 +110,11 @@
 		return Pass, Change{}
 	case g.served.recently(now, r):
 		return Pass, g.table.Clear(d, SourceServed)
-	case st.crashes >= quarantineCrashes && !g.trialDue(now, d, st):
+	case st.quarantined && !g.trialDue(now, d, st):
 		return Refuse, Change{}
-	case st.crashes == 1 && st.own && g.hasPeers():
+	case !st.quarantined && st.own && g.hasPeers():
 		return Elsewhere, Change{}
-	case g.suspectRuns():
+	case g.suspectRuns(now):
 		return Busy, Change{}
 	}
 	return Pass, Change{}
@@ -140,9 +140,9 @@
 	return slices.ContainsFunc(g.peers, func(id member.InstanceID) bool { return id != g.instance.Instance })
 }
 
-func (g *Gate) suspectRuns() bool {
+func (g *Gate) suspectRuns(now time.Time) bool {
 	for run := range g.running {
-		if run.crashes > 0 {
+		if g.crashes(now, run.request) > 0 {
 			return true
 		}
 	}
@@ -247,7 +247,7 @@
 	var stop []*Run
 	for run := range g.running {
 		r := run.request
-		if n := g.crashes(now, r); n < quarantineCrashes || n == run.crashes {
+		if st := g.table.standing(now, r.Digest()); !st.quarantined || st.crashes == run.crashes {
 			continue
 		}
 		if g.served.recently(now, r) {
--- a/core/quarantine/served.go
+++ b/core/quarantine/served.go
@@ -10,7 +10,7 @@
 	// instances. It is limited, since a change elsewhere may turn a request lethal.
 	servedWindow = 10 * time.Second
 	// servedSlots is the number of requests that servedRequests can hold.
-	servedSlots = 8192
+	servedSlots = 2048
 )
 
 // servedRequests remembers which requests one start of an instance has served. It is a
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -25,8 +25,13 @@
 	// that was not seen again is forgotten.
 	suspectRetention    = time.Hour
 	quarantineRetention = 24 * time.Hour
-	// quarantineCrashes is the number of crashes that put a request in quarantine.
+	// quarantineCrashes is the number of crashes that put a request in quarantine. It
+	// takes maxCrashes if an instance that did not run the request crashed within
+	// unrelatedWindow of the last one: there is another cause as well, and where many
+	// instances crash an innocent request may run at two of them.
 	quarantineCrashes = 2
+	maxCrashes        = 3
+	unrelatedWindow   = 5 * time.Second
 )
 
 // Crash identifies the crash of one start of an instance.
@@ -83,8 +88,13 @@
 type Table struct {
 	position Position
 	suspects map[Digest]*suspect
-	// ofCrash counts the marks of each crash.
-	ofCrash map[Crash]int
+	crashes  map[Crash]*crashed
+}
+
+// crashed is a crash with the number of its marks.
+type crashed struct {
+	at    time.Time
+	marks int
 }
 
 // NewTable returns an empty table. The incarnation differs between processes and is not
@@ -92,46 +102,61 @@
 func NewTable(incarnation uint64) *Table {
 	return &Table{
 		position: Position{Incarnation: incarnation},
-		suspects: make(map[Digest]*suspect), ofCrash: make(map[Crash]int),
+		suspects: make(map[Digest]*suspect), crashes: make(map[Crash]*crashed),
 	}
 }
 
 // Len returns the number of requests in the table.
 func (t *Table) Len() int { return len(t.suspects) }
 
-// Position returns the current position.
-func (t *Table) Position() Position { return t.position }
-
-// Change is the number of crashes that count against a request before and after a change.
+// Change is how a request stands before and after a change.
 type Change struct {
-	Digest        Digest
+	Digest Digest
+	// Before and After are the numbers of crashes that count against the request.
 	Before, After int
+	// Entered and Left are set if the request enters or leaves quarantine.
+	Entered, Left bool
 }
 
-// Quarantined reports whether the change puts the request in quarantine.
-func (c Change) Quarantined() bool {
-	return c.Before < quarantineCrashes && c.After >= quarantineCrashes
-}
+// IsEmpty reports whether nothing has changed.
+func (c Change) IsEmpty() bool { return c.Before == c.After }
 
-// Released reports whether the change takes the request out of quarantine.
-func (c Change) Released() bool { return c.Before >= quarantineCrashes && c.After < quarantineCrashes }
+// change applies a change to a request.
+func (t *Table) change(d Digest, s *suspect, apply func()) Change {
+	before, was := s.crashes(), t.isQuarantined(s)
+	apply()
+	is := t.isQuarantined(s)
+	return Change{Digest: d, Before: before, After: s.crashes(), Entered: is && !was, Left: was && !is}
+}
 
-// Add merges a mark. The change is not empty if that was new.
+// Add merges a mark. The change is empty if that was not new.
 func (t *Table) Add(now time.Time, m Mark) Change {
 	s := t.suspects[m.Digest]
-	change := Change{Digest: m.Digest}
 	if s == nil {
-		if t.ofCrash[m.Crash] >= maxMarksOfCrash {
-			return change
+		if !t.hasRoomFor(m.Crash) {
+			return Change{Digest: m.Digest}
 		}
 		t.makeRoom()
 		s = &suspect{seenAt: now}
 		t.suspects[m.Digest] = s
 	}
-	change.Before = s.crashes()
-	t.merge(now, s, m)
-	change.After = s.crashes()
-	return change
+	return t.change(m.Digest, s, func() { t.merge(now, s, m) })
+}
+
+// hasRoomFor reports whether a crash may mark another request.
+func (t *Table) hasRoomFor(c Crash) bool {
+	known := t.crashes[c]
+	return known == nil || known.marks < maxMarksOfCrash
+}
+
+// Merge adds the marks that came from a source.
+func (t *Table) Merge(now time.Time, marks []Mark, source string) []Change {
+	changes := make([]Change, 0, len(marks))
+	for _, m := range marks {
+		m.Source = source
+		changes = append(changes, t.Add(now, m))
+	}
+	return changes
 }
 
 func (t *Table) merge(now time.Time, s *suspect, m Mark) {
@@ -141,11 +166,15 @@
 		return
 	case i >= 0:
 		t.clear(&s.marks[i], m.Source)
-	case len(s.marks) < maxMarks && t.ofCrash[m.Crash] < maxMarksOfCrash:
+	case len(s.marks) < maxMarks && t.hasRoomFor(m.Crash):
 		t.position.Sequence++
-		t.ofCrash[m.Crash]++
+		at := now.Add(-m.Age)
+		if t.crashes[m.Crash] == nil {
+			t.crashes[m.Crash] = &crashed{at: at}
+		}
+		t.crashes[m.Crash].marks++
 		s.marks = append(s.marks, mark{
-			crash: m.Crash, at: now.Add(-m.Age), cleared: m.Cleared, source: m.Source, sequence: t.position.Sequence,
+			crash: m.Crash, at: at, cleared: m.Cleared, source: m.Source, sequence: t.position.Sequence,
 		})
 		s.seenAt = now
 	}
@@ -158,21 +187,53 @@
 
 // Clear clears all marks of a request that are known now.
 func (t *Table) Clear(d Digest, source string) Change {
-	change := Change{Digest: d}
-	if s := t.suspects[d]; s != nil {
-		change.Before = s.crashes()
+	s := t.suspects[d]
+	if s == nil {
+		return Change{Digest: d}
+	}
+	return t.change(d, s, func() {
 		for i := range s.marks {
 			if !s.marks[i].cleared {
 				t.clear(&s.marks[i], source)
 			}
 		}
+	})
+}
+
+// isQuarantined reports whether enough crashes count against a request.
+func (t *Table) isQuarantined(s *suspect) bool {
+	n := s.crashes()
+	return n >= maxCrashes || (n >= quarantineCrashes && !t.hasUnrelated(s))
+}
+
+// hasUnrelated reports whether an instance that did not run the request crashed around
+// the time of the last crash that counts against it.
+func (t *Table) hasUnrelated(s *suspect) bool {
+	last := s.last()
+	for crash, c := range t.crashes {
+		ran := slices.ContainsFunc(s.marks, func(m mark) bool { return m.crash == crash })
+		if !ran && c.at.Sub(last).Abs() <= unrelatedWindow {
+			return true
+		}
+	}
+	return false
+}
+
+// last returns the time of the last crash that counts.
+func (s *suspect) last() time.Time {
+	var last time.Time
+	for i := range s.marks {
+		if m := &s.marks[i]; !m.cleared && m.at.After(last) {
+			last = m.at
+		}
 	}
-	return change
+	return last
 }
 
 // standing is what a table says about a request.
 type standing struct {
-	crashes int
+	crashes     int
+	quarantined bool
 	// last is the time of the last crash.
 	last time.Time
 	// own is set if the instance beside the node crashed.
@@ -186,17 +247,16 @@
 		return standing{}
 	}
 	s.seenAt = now
-	var st standing
-	for i := range s.marks {
-		if m := &s.marks[i]; !m.cleared {
-			st.crashes++
-			st.own = st.own || m.source == SourceOwn
-			if m.at.After(st.last) {
-				st.last = m.at
-			}
-		}
+	return standing{
+		crashes: s.crashes(), quarantined: t.isQuarantined(s), last: s.last(),
+		own: slices.ContainsFunc(s.marks, func(m mark) bool { return !m.cleared && m.source == SourceOwn }),
 	}
-	return st
+}
+
+// IsQuarantined reports whether a request is in quarantine.
+func (t *Table) IsQuarantined(d Digest) bool {
+	s := t.suspects[d]
+	return s != nil && t.isQuarantined(s)
 }
 
 // Marks returns the marks of one request.
@@ -216,12 +276,13 @@
 	return Mark{Digest: d, Crash: m.crash, Age: now.Sub(m.at), Cleared: m.cleared, Source: m.source}
 }
 
-// Since returns up to most marks that have changed since a position, in the order of
-// their changes, and the position up to which they reach. It leaves out what came from
-// the source except. A position of another incarnation counts as the start.
-func (t *Table) Since(now time.Time, after Position, except string, most int) ([]Mark, Position) {
+// since returns the marks that have changed since a position, in the order of their
+// changes and at most maxMarksInMessage, and the position up to which they reach. It
+// leaves out what came from the source except, unless the position is of another
+// incarnation, which counts as the start: the source may have lost its marks.
+func (t *Table) since(now time.Time, after Position, except string) ([]Mark, Position) {
 	if after.Incarnation != t.position.Incarnation {
-		after = Position{Incarnation: t.position.Incarnation}
+		after, except = Position{Incarnation: t.position.Incarnation}, ""
 	}
 	if after.Sequence >= t.position.Sequence {
 		return nil, after
@@ -233,16 +294,16 @@
 	var list []changed
 	for d, s := range t.suspects {
 		for i := range s.marks {
-			if m := &s.marks[i]; m.sequence > after.Sequence && (m.source != except || except == "") {
+			if m := &s.marks[i]; m.sequence > after.Sequence && (except == "" || m.source != except) {
 				list = append(list, changed{m.export(now, d), m.sequence})
 			}
 		}
 	}
 	slices.SortFunc(list, func(a, b changed) int { return cmp.Compare(a.sequence, b.sequence) })
 	reached := t.position
-	if len(list) > most {
-		list = list[:most]
-		reached.Sequence = list[most-1].sequence
+	if len(list) > maxMarksInMessage {
+		list = list[:maxMarksInMessage]
+		reached.Sequence = list[len(list)-1].sequence
 	}
 	marks := make([]Mark, len(list))
 	for i := range list {
@@ -255,7 +316,7 @@
 func (t *Table) Quarantined(now time.Time) []Mark {
 	var marks []Mark
 	for d, s := range t.suspects {
-		if s.crashes() >= quarantineCrashes {
+		if t.isQuarantined(s) {
 			marks = append(marks, t.Marks(now, d)...)
 		}
 	}
@@ -281,24 +342,30 @@
 	}
 }
 
-// makeRoom drops the request that matters least if the table is full: the one with the
-// fewest crashes, among these the one that was not seen for longest.
+// makeRoom drops the requests that matter least if the table is full: those with the
+// fewest crashes, among these the ones that were not seen for longest. It drops several,
+// so that sorting them is rare.
 func (t *Table) makeRoom() {
 	if len(t.suspects) < maxRequests {
 		return
 	}
-	least := slices.MinFunc(slices.Collect(maps.Keys(t.suspects)), func(a, b Digest) int {
+	const dropped = maxRequests / 16
+	byValue := slices.SortedFunc(maps.Keys(t.suspects), func(a, b Digest) int {
 		return cmp.Or(
 			cmp.Compare(t.suspects[a].crashes(), t.suspects[b].crashes()),
 			t.suspects[a].seenAt.Compare(t.suspects[b].seenAt))
 	})
-	t.remove(least)
+	for _, d := range byValue[:dropped] {
+		t.remove(d)
+	}
 }
 
 func (t *Table) remove(d Digest) {
 	for _, m := range t.suspects[d].marks {
-		if t.ofCrash[m.crash]--; t.ofCrash[m.crash] <= 0 {
-			delete(t.ofCrash, m.crash)
+		if c := t.crashes[m.crash]; c.marks > 1 {
+			c.marks--
+		} else {
+			delete(t.crashes, m.crash)
 		}
 	}
 	delete(t.suspects, d)
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -47,6 +47,8 @@
 	gates   *gates
 	quota   *quota
 	report  *reporter
+	// quarantines holds the requests that crash instances.
+	quarantines *quarantines
 }
 
 // entry accepts requests of clients and of the own instance and forwards them to an
@@ -197,6 +199,7 @@
 	header.Del(names.Instance)
 	header.Del(headerEra)
 	header.Del(headerLimit)
+	header.Del(headerMarks)
 	header.Set(names.Caller, e.cfg.service)
 	if r.workspace != nil {
 		header.Set(names.Workspace, r.workspace.Name)
@@ -236,6 +239,9 @@
 		refused.digest = e.identity(r).Digest().String()
 	}
 	switch {
+	case o.run == runNo && o.reason == reasonQuarantined:
+		refused.status = fasthttp.StatusServiceUnavailable
+		refused.retryAfter = quarantineRetryAfter
 	case o.run == runNo:
 		refused.status = fasthttp.StatusServiceUnavailable
 		refused.retryAfter = e.cfg.gates.retryAfter(r)
@@ -328,13 +334,20 @@
 	if limit, ok := e.cfg.routes.requestLimit(target); ok {
 		r.out.Header.Set(headerLimit, formatRate(limit))
 	}
+	r.out.Header.Del(headerMarks)
+	if marks := e.cfg.quarantines.marksOf(func() *quarantine.Request { return e.identity(r) }); len(marks) > 0 {
+		setMarks(&r.out.Header, marks)
+	}
 	setBudget(&r.out.Header, e.cfg.headers.Budget, left)
 	return e.cfg.peers.send(ctx, r, target)
 }
 
 // shouldRetry reports whether the request may be sent to another instance.
 func (e *entry) shouldRetry(ctx context.Context, r *request, o *outcome) bool {
-	if context.Cause(ctx) != nil || !r.body.replayable() || o.reason == reasonTooLate {
+	if context.Cause(ctx) != nil || !r.body.replayable() || o.reason == reasonTooLate || o.reason == reasonQuarantined {
+		return false
+	}
+	if o.reason == reasonInstanceCrashed && e.cfg.quarantines.isQuarantined(func() *quarantine.Request { return e.identity(r) }) {
 		return false
 	}
 	if len(r.tried) >= maxTries || r.sent >= r.route.MaxAttempts {
--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -114,7 +114,7 @@
 	if !listed {
 		return
 	}
-	g.cfg.quarantines.started(quarantine.Crash{Instance: own.ID, Boot: own.Boot})
+	g.cfg.quarantines.stateChanged(state, quarantine.Crash{Instance: own.ID, Boot: own.Boot}, own.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue.SetSlots(own.Slots)
@@ -161,6 +161,9 @@
 	if g.cfg.closed.Load() {
 		return refusedOutcome(reasonLeaving, "")
 	}
+	if reason, ok := g.cfg.quarantines.check(c.identity); !ok {
+		return refusedOutcome(reason, "")
+	}
 	verdict := g.acquire(ctx, c)
 	switch verdict {
 	case slots.Run:
@@ -174,6 +177,11 @@
 		}
 		return refusedOutcome(reasonInstanceOverloaded, "")
 	}
+	// A suspect may have started, or a report of a crash arrived, while this one waited.
+	if reason, ok := g.cfg.quarantines.check(c.identity); !ok {
+		g.release("", 0, false)
+		return refusedOutcome(reason, "")
+	}
 	started := time.Now()
 	o := g.send(ctx, c)
 	g.release(c.route, time.Since(started), o.run == runYes)
@@ -274,6 +282,7 @@
 	header.Del(headerCall)
 	header.Del(headerEra)
 	header.Del(headerLimit)
+	header.Del(headerMarks)
 	setBudget(header, g.cfg.headers.Budget, left)
 	p := &parent{
 		deadline: time.Now().Add(left.Truncate(time.Millisecond)), rank: c.info.Rank, chain: g.cfg.calls.chain(c.route),
@@ -281,12 +290,12 @@
 	g.cfg.calls.begin(p)
 	defer g.cfg.calls.end(p)
 	sent := time.Now()
-	run := g.cfg.quarantines.begin(c.identity)
-	received, err := g.pool.exchange(ctx, c.request, exchangeOptions{deadline: c.deadline, atMostOnce: c.atMostOnce})
+	run, runCtx := g.cfg.quarantines.begin(ctx, c.identity)
+	received, err := g.pool.exchange(runCtx, c.request, exchangeOptions{deadline: c.deadline, atMostOnce: c.atMostOnce})
 	if err == nil {
 		g.observeAnnouncements(sent, received)
 	}
-	return g.endRun(ctx, run, received, err)
+	return g.endRun(runCtx, run, received, err)
 }
 
 // exchangeFailure returns the outcome of an exchange without a response.
@@ -295,6 +304,8 @@
 	notRun := errors.As(err, &failed) && failed.notRun()
 	r := reasonResponseLost
 	switch {
+	case errors.Is(context.Cause(ctx), errQuarantined):
+		r = reasonQuarantined
 	case context.Cause(ctx) != nil:
 		r = reasonCallerGone
 	case notRun:
@@ -333,6 +344,7 @@
 		g.cfg.observeVersions(ctx.RemoteIP().String(), v)
 	}
 	g.adoptLimit(&ctx.Request.Header)
+	g.cfg.quarantines.merge(decodeMarks(ctx.Request.Header.Peek(headerMarks)), "request from "+ctx.RemoteIP().String())
 	state := g.cfg.state()
 	c := guardRequest{info: info, deadline: arrived.Add(budget), atMostOnce: true}
 	if state.Catalog != nil {
@@ -377,6 +389,9 @@
 			ctx.Response.Header.Set(headerEra, era)
 		}
 	}
+	if marks := g.cfg.quarantines.marksOf(func() *quarantine.Request { return c.identity }); o.response == nil && len(marks) > 0 {
+		setMarks(&ctx.Response.Header, marks)
+	}
 	if o.response == nil || o.run == runNo {
 		g.cfg.report.guardDecision(ctx, c, &o, time.Since(arrived))
 	}
--- a/mesh/headers.go
+++ b/mesh/headers.go
@@ -43,6 +43,9 @@
 	// headerLimit carries the request limit that the entry knows of the instance, for
 	// a guard that has no response of it yet.
 	headerLimit = "Tc-Limit"
+	// headerMarks carries the marks of the request, see package quarantine, in requests
+	// and in responses without one of an instance.
+	headerMarks = "Tc-Marks"
 	// headerRefused carries the reason why a guard did not run a request.
 	headerRefused = "Tc-Refused"
 	// headerFailed carries the reason why a guard has no response of its
@@ -82,6 +85,7 @@
 	}
 	dst.Del(headerHint)
 	dst.Del(headerEra)
+	dst.Del(headerMarks)
 	dst.Del(headerRefused)
 	dst.Del(headerFailed)
 	dst.SetNoDefaultContentType(true)
--- a/mesh/mortal_test.go
+++ b/mesh/mortal_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -192,8 +194,7 @@
 func (m *mortalInstance) dropped(conn net.Conn) bool {
 	_ = conn.SetReadDeadline(time.Now().Add(m.mortality.runFor))
 	_, err := conn.Read(make([]byte, 1))
-	timeout, isNet := err.(net.Error)
-	return !isNet || !timeout.Timeout()
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // crash ends the instance, unless it has ended before, and starts another one later.
@@ -287,7 +288,6 @@
 		{nodes: 24, lethal: 1, gap: 300 * time.Millisecond, runFor: 1500 * time.Millisecond},
 	} {
 		t.Run(fmt.Sprintf("%d nodes, %d every %v, crash after %v", tt.nodes, tt.lethal, tt.gap, tt.runFor), func(t *testing.T) {
-			t.Parallel()
 			const length = 14 * time.Second
 			r, log := startMortalRig(t, tt.nodes, mortality{runFor: tt.runFor, downFor: 3 * time.Second})
 			stop := make(chan struct{})
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/go-logr/logr"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
@@ -126,7 +127,12 @@
 	n.gates = newGates(n.routes)
 	n.quota = newQuota(cfg.Node, cfg.Quota)
 	n.quota.state, n.quota.clients, n.quota.controlAddress, n.quota.log = n.follower.State, clients, controlAddressOf, cfg.Log
-	n.peers = newPeers(cfg.Headers, peerAddress.Port(), observeVersions)
+	n.quota.quarantines = n.quarantines
+	n.quarantines.report = (&markReporter{
+		node: cfg.Node, service: cfg.Service, state: n.follower.State, clients: clients, controlAddress: controlAddressOf,
+		collector: n.quota.collector, workers: pond.NewPool(reportWorkers),
+	}).report
+	n.peers = newPeers(cfg.Headers, peerAddress.Port(), observeVersions, n.quarantines)
 	n.guard = newGuard(guardConfig{
 		headers: cfg.Headers, address: cfg.Upstream, state: n.follower.State, leaving: &n.announced, closed: &n.guardClosed,
 		calls: calls, report: report, quarantines: n.quarantines, observeVersions: observeVersions,
@@ -135,7 +141,7 @@
 		headers: cfg.Headers, service: cfg.Service, nodeIP: net.IP(peerAddress.Addr().AsSlice()), state: n.follower.State,
 		confirmedAge: n.follower.ConfirmedAge,
 		leaving:      &n.leaving, closed: &n.entryClosed, calls: calls, guard: n.guard, peers: n.peers, routes: n.routes, gates: n.gates,
-		quota: n.quota, report: report,
+		quota: n.quota, report: report, quarantines: n.quarantines,
 	}}
 	return n, nil
 }
@@ -262,6 +268,7 @@
 		case now := <-ticker.C:
 			n.guard.pool.closeExpired(now)
 			n.peers.closeExpired(now, n.follower.State())
+			n.quarantines.expire(now)
 			// If the clocks can't be read, the error was logged at the start.
 			if d, err := suspension.sinceLast(); err == nil && d > 0 {
 				n.log.Info("machine was suspended", "for", d.Round(time.Millisecond).String(), "running", n.active.Load())
@@ -325,7 +332,7 @@
 	guardServer := newDataServer(n.countActive(n.guard.handle), defaultLimits(), log)
 	ready := newDataServer(n.handleReady, defaultLimits(), log)
 	metricsServer := newDataServer(n.handleMetrics, defaultLimits(), log)
-	control := newControlServer(&controlService{follower: n.follower, quota: n.quota, leaving: &n.leaving})
+	control := newControlServer(&controlService{follower: n.follower, quota: n.quota, quarantines: n.quarantines, leaving: &n.leaving})
 	listeners := []struct {
 		name, address string
 		serve         func(net.Listener) error
--- a/mesh/outcome.go
+++ b/mesh/outcome.go
@@ -30,6 +30,12 @@
 	reasonMisdirected        reason = "other-instance"
 	reasonBadBody            reason = "bad-body"
 	reasonHeaderTooLarge     reason = "header-too-large"
+	// reasonQuarantined also ends runs of requests that are put in quarantine
+	// meanwhile.
+	reasonQuarantined reason = "quarantined"
+	// reasonSuspect refuses a request that may have crashed an instance. Another
+	// instance may run it, or this one later.
+	reasonSuspect reason = "crash-suspect"
 )
 
 // Reasons why a request that may have run has no response.
@@ -43,7 +49,11 @@
 
 // needsDigest reports whether log lines with the reason name the digest of the request.
 func (r reason) needsDigest() bool {
-	return r == reasonResponseLost || r == reasonInstanceCrashed
+	switch r {
+	case reasonResponseLost, reasonInstanceCrashed, reasonQuarantined, reasonSuspect:
+		return true
+	}
+	return false
 }
 
 // run is whether a request has run, ordered by certainty.
@@ -103,13 +113,13 @@
 		// The guard keeps the running requests below the slots, so a healthy
 		// instance has no reason to reject one.
 		return routing.Failed
-	case reasonConnectFailed, reasonInstanceDown, reasonMisdirected, reasonDraining, reasonLeaving:
+	case reasonConnectFailed, reasonInstanceDown, reasonInstanceCrashed, reasonMisdirected, reasonDraining, reasonLeaving:
 		return routing.ConnectFailed
 	case reasonTimeout:
 		return routing.TimedOut
-	case reasonResponseLost, reasonInstanceCrashed, reasonInternal:
+	case reasonResponseLost, reasonInternal:
 		return routing.Lost
-	case reasonCallerGone:
+	case reasonCallerGone, reasonQuarantined, reasonSuspect:
 		return routing.Abandoned
 	}
 	if o.response != nil && o.response.raw.StatusCode() >= fasthttp.StatusInternalServerError {
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -27,13 +27,14 @@
 	headers         Headers
 	port            uint16
 	observeVersions func(address string, v versions)
+	quarantines     *quarantines
 
 	mu    sync.Mutex
 	pools map[string]*connPool
 }
 
-func newPeers(headers Headers, port uint16, observeVersions func(address string, v versions)) *peers {
-	return &peers{headers: headers, port: port, observeVersions: observeVersions, pools: make(map[string]*connPool)}
+func newPeers(headers Headers, port uint16, observeVersions func(address string, v versions), q *quarantines) *peers {
+	return &peers{headers: headers, port: port, observeVersions: observeVersions, quarantines: q, pools: make(map[string]*connPool)}
 }
 
 func (p *peers) pool(address string) *connPool {
@@ -98,6 +99,7 @@
 		}
 	}
 	if o.response == nil {
+		p.quarantines.merge(decodeMarks(header.Peek(headerMarks)), string(instance.ID))
 		received.release()
 	}
 	return o
@@ -202,9 +204,10 @@
 
 // controlService serves the RPCs of other nodes.
 type controlService struct {
-	follower *follow.Follower
-	quota    *quota
-	leaving  *atomic.Bool
+	follower    *follow.Follower
+	quota       *quota
+	quarantines *quarantines
+	leaving     *atomic.Bool
 }
 
 // errNotReader means that the node can't be long-polled for changes of the store.
@@ -212,7 +215,9 @@
 
 // DrawTokens implements the twirp service.
 func (s *controlService) DrawTokens(_ context.Context, in *meshpb.DrawRequest) (*meshpb.DrawReply, error) {
-	return s.quota.handleDraw(in), nil
+	reply := s.quota.handleDraw(in)
+	reply.Marks = s.quarantines.handleExchange(in.Node, in.Marks)
+	return reply, nil
 }
 
 // Published implements the twirp service.
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -48,7 +48,9 @@
 	// controlAddress returns the control address of the node beside an instance,
 	// empty for this node.
 	controlAddress func(catalog.Instance) string
-	log            logr.Logger
+	// quarantines exchanges marks with the nodes that this one draws from.
+	quarantines *quarantines
+	log         logr.Logger
 
 	mu       sync.Mutex
 	limiter  *usage.Limiter
@@ -302,9 +304,11 @@
 	if address := q.controlAddress(instance); address == "" {
 		reply = q.handleDraw(message)
 	} else {
+		message.Marks = q.quarantines.exchangeRequest(id)
 		if reply, err = q.clients.client(address).DrawTokens(ctx, message); err != nil {
 			return false, &drawError{collector: id, err: err}
 		}
+		q.quarantines.applyReply(id, reply.Marks)
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
