Crash instances by a marked request in the soak

From two fifths of the faults' time on, one request in 25 of the workspace without a quota crashes the instance that runs it: its connections are reset and new ones refused until it is back under another id. The soak judges the runs later than 3 s after the third crash, at most three, from nodes that were not restarted or suspended in the last 3 s, and goes on for 5 s after the faults.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,7 +53,8 @@
 // injection for SOAK_SECONDS each. It guards against requests that may run at most once and
 // run twice or although they were refused, responses that reach another request,
 // requests served without a valid key, a workspace above its quota, an instance above
-// the request limit that it advertises, and requests to one that has announced to leave.
+// the request limit that it advertises, requests to one that has announced to leave, and
+// a request that crashes instances and is run again and again.
 func TestSoak(t *testing.T) {
 	first := envInt("SOAK_FIRST", 1)
 	for seed := first; seed < first+envInt("SOAK_SEEDS", 1); seed++ {
@@ -81,22 +82,31 @@
 	outcomes    []outcome
 	problems    []string
 	announced   *announcements
+	mortal      *mortality
 	sent        atomic.Int64
 }
 
 // node is one node process with its instance and the proxies between it and the
 // store and the instance.
 type node struct {
-	soak        *soak
-	ip          string
-	settings    string
-	log         *os.File
-	storeProxy  *Proxy
-	serverProxy *Proxy
+	soak       *soak
+	ip         string
+	zone       string
+	settings   string
+	log        *os.File
+	storeProxy *Proxy
+	// server is the listener of the instance behind its proxy.
+	server net.Listener
 
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
+	// instance is the id of the instance, boots the number of its restarts, and down
+	// is set from its crash until the next.
+	instance    string
+	boots       int
+	down        bool
+	serverProxy *Proxy
 	// closed is set when the process must not be restarted.
 	closed bool
 }
@@ -143,7 +153,7 @@
 func start(t *testing.T, seed uint64, nodes int) *soak {
 	t.Helper()
 	s := &soak{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), store: store.New(), runs: make(map[string]int), announced: newAnnouncements(),
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), store: store.New(), runs: make(map[string]int), announced: newAnnouncements(), mortal: &mortality{},
 		client: http.Transport{MaxIdleConnsPerHost: 50},
 	}
 	storeServer := httptest.NewServer(s.store)
@@ -176,22 +186,24 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { _ = server.Close() })
-	id := fmt.Sprint("i-", i)
-	go s.serveInstance(server, id)
-	n := &node{soak: s, ip: ip, settings: filepath.Join(s.t.TempDir(), "settings.yaml")}
+	n := &node{
+		soak: s, ip: ip, zone: fmt.Sprint("z", i%2), settings: filepath.Join(s.t.TempDir(), "settings.yaml"),
+		server: server, instance: fmt.Sprint("i-", i),
+	}
+	go s.serveInstance(n)
 	n.serverProxy = s.proxy(fmt.Sprint(ip, ":", serverPort), server.Addr().String())
 	n.storeProxy = s.proxy(fmt.Sprint(ip, ":43009"), storeAddress)
-	text := fmt.Sprintf("node: n%d\nzone: z%d\nservice: desk\nlisten:\n  entry: %s:%d\n  peer: %s:43002\n  control: %s:43003\n"+
+	text := fmt.Sprintf("node: n%d\nzone: %s\nservice: desk\nlisten:\n  entry: %s:%d\n  peer: %s:43002\n  control: %s:43003\n"+
 		"  ready: %s:43004\n  metrics: %s:43005\nupstream: %s:%d\nstore: %s:43009\nbounds: [GracePeriodS=2, RetryBudgetRatio=0.2, BudgetSlack=50, "+
 		"QuotaWindowS=5, QuotaOverage=0.25, QuotaSlack=20]\n",
-		i, i%2, ip, entryPort, ip, ip, ip, ip, ip, serverPort, ip)
+		i, n.zone, ip, entryPort, ip, ip, ip, ip, ip, serverPort, ip)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
 	if n.log, err = os.Create(filepath.Join(s.t.ArtifactDir(), fmt.Sprintf("node-%d.log", i))); err != nil {
 		s.t.Fatal(err)
 	}
-	s.store.Put("servers/"+id, fmt.Appendf(nil, `{"Service":"desk","Address":"%s:%d","Zone":"z%d","Slots":20,"State":"ready"}`, ip, serverPort, i%2))
+	n.publish()
 	s.nodes = append(s.nodes, n)
 	s.t.Cleanup(n.kill)
 }
@@ -257,9 +269,9 @@
 
 // serveInstance is an instance that counts its runs and at random refuses
 // requests, closes connections, and sends truncated and unsolicited responses.
-func (s *soak) serveInstance(listener net.Listener, id string) {
+func (s *soak) serveInstance(n *node) {
 	for {
-		conn, err := listener.Accept()
+		conn, err := n.server.Accept()
 		if err != nil {
 			return
 		}
@@ -271,7 +283,7 @@
 				if err != nil {
 					return
 				}
-				if _, err := io.Copy(io.Discard, r.Body); err != nil || !s.respond(conn, r, id) {
+				if _, err := io.Copy(io.Discard, r.Body); err != nil || !s.respond(conn, r, n) {
 					return
 				}
 			}
@@ -279,7 +291,8 @@
 	}
 }
 
-func (s *soak) respond(conn net.Conn, r *http.Request, id string) bool {
+func (s *soak) respond(conn net.Conn, r *http.Request, n *node) bool {
+	id := n.currentInstance()
 	request := r.Header.Get("Request-Id")
 	chance := rand.Float64()
 	announced := s.announced.header(id)
@@ -302,6 +315,10 @@
 	if r.Header.Get("Credential") != "" || (tenant != "w" && tenant != "metered") || r.Header.Get("Caller-Service") != "desk" {
 		s.recordProblem("request %s reached the instance with wrong headers: %v", request, r.Header)
 	}
+	if r.URL.Path == lethalPath {
+		n.runLethal(request, id)
+		return false
+	}
 	time.Sleep(time.Duration(rand.N(20)) * time.Millisecond)
 	body := "for " + request
 	switch {
@@ -330,11 +347,14 @@
 
 // request sends one request, records the response and returns its status, 0 if
 // there was no complete response.
-func (s *soak) request(n *node, key string) (status int) {
+func (s *soak) request(n *node, key string, lethal bool) (status int) {
 	number := s.sent.Add(1)
-	atMostOnce := number%2 == 0
+	atMostOnce := number%2 == 0 && !lethal
 	path, id := "/safe/x", fmt.Sprintf("s%d-%d", s.seed, number)
-	if atMostOnce {
+	switch {
+	case lethal:
+		path, id = lethalPath, id+"-1" // odd: it may run several times
+	case atMostOnce:
 		path = "/once/x"
 	}
 	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, entryPort, path), strings.NewReader("body"))
@@ -376,7 +396,7 @@
 	for _, n := range s.nodes {
 		served := 0
 		for deadline := time.Now().Add(limit); served < 3; time.Sleep(10 * time.Millisecond) {
-			if s.request(n, unmeteredKey) == http.StatusOK {
+			if s.request(n, unmeteredKey, false) == http.StatusOK {
 				served++
 			}
 			if time.Now().After(deadline) {
@@ -391,6 +411,7 @@
 func (s *soak) runWithFaults(length time.Duration) {
 	stop := make(chan struct{})
 	s.announced.begin(length)
+	s.mortal.begin(length)
 	var clients sync.WaitGroup
 	for c := range 8 {
 		clients.Go(func() {
@@ -408,7 +429,7 @@
 				case c < meteredClients:
 					key = meteredKey
 				}
-				s.request(s.nodes[random.IntN(len(s.nodes))], key)
+				s.request(s.nodes[random.IntN(len(s.nodes))], key, key == unmeteredKey && s.mortal.isNext(random))
 				if key == meteredKey {
 					time.Sleep(meteredPause)
 				}
@@ -422,11 +443,12 @@
 	}
 	for _, n := range s.nodes {
 		n.storeProxy.SetFault(None)
-		n.serverProxy.SetFault(None)
+		n.setServerFault(None)
 		n.resume()
 	}
 	s.store.SetFaults(store.Faults{})
 	s.waitServing(30 * time.Second)
+	time.Sleep(lethalTail)
 	close(stop)
 	clients.Wait()
 }
@@ -442,8 +464,8 @@
 		n.storeProxy.SetFault(fault)
 		time.AfterFunc(duration, func() { n.storeProxy.SetFault(None) })
 	case 1, 2:
-		n.serverProxy.SetFault(fault)
-		time.AfterFunc(duration, func() { n.serverProxy.SetFault(None) })
+		n.setServerFault(fault)
+		time.AfterFunc(duration, func() { n.setServerFault(None) })
 	case 3:
 		n.signal(syscall.SIGSTOP)
 		time.AfterFunc(duration, n.resume)
@@ -514,6 +536,7 @@
 	if late := s.announced.late; len(late) > 0 {
 		s.t.Errorf("seed %d: %d requests reached an instance from nodes that knew that it leaves, the first is %s", s.seed, len(late), late[0])
 	}
+	s.checkLethal()
 	for _, problem := range s.problems {
 		s.t.Errorf("seed %d: %s", s.seed, problem)
 	}
