--- a/internal/soak/mortal_test.go
+++ b/internal/soak/mortal_test.go
@@ -8,17 +8,18 @@
 	"time"
 )
 
-// Lethal requests: from lethalShare of the faults' time on, one request in lethalEvery
-// crashes the instance that runs it, lethalRunTime after its start. The instance is back
-// after downTime, under another id. lethalTail is how long traffic goes on after the
-// faults, so that what is sent later than lethalDelay after the third crash is seen.
+// Lethal requests: after the time in which the announcements are judged, one request in
+// lethalEvery crashes the instance that runs it, lethalRunTime after its start. The
+// instance is back after downTime, under another id. Faults go on for lethalFaults, and
+// traffic for lethalTail after them, so that what is sent later than lethalDelay after
+// the third crash is seen.
 const (
 	lethalPath    = "/safe/lethal"
-	lethalShare   = 0.4
 	lethalEvery   = 25
 	lethalRunTime = 20 * time.Millisecond
 	downTime      = time.Second
-	lethalTail    = 5 * time.Second
+	lethalFaults  = 5 * time.Second
+	lethalTail    = 4 * time.Second
 	lethalDelay   = 3 * time.Second
 	maxLethalLate = 3
 )
@@ -32,11 +33,11 @@
 	late []string
 }
 
-// begin starts the lethal requests of a run that injects faults for a time.
-func (m *mortality) begin(length time.Duration) {
+// begin starts the lethal requests after a time.
+func (m *mortality) begin(after time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.from = time.Now().Add(time.Duration(lethalShare * float64(length)))
+	m.from = time.Now().Add(after)
 }
 
 // isNext reports at random whether the next request is a lethal one.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -437,7 +437,7 @@
 		})
 	}
 	version := 1
-	for end := time.Now().Add(length); time.Now().Before(end); {
+	for end := time.Now().Add(length + lethalFaults); time.Now().Before(end); {
 		s.injectFault(&version)
 		time.Sleep(time.Duration(50+s.random.IntN(250)) * time.Millisecond)
 	}
