Let operators list and lift quarantines

A request in quarantine stays there for minutes at least; the user of a service that was mended meanwhile, or an innocent request that ran at two crashes, would wait for the next trial. The status lists the requests with the crashes that count, and 'toucancove quarantine lift' clears them through any node, from which the draws take it to the others.

--- a/cmd/toucancove/commands.go
+++ b/cmd/toucancove/commands.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/toucancove/toucancove/config"
+	"github.com/toucancove/toucancove/mesh"
 	"github.com/toucancove/toucancove/node"
 	"github.com/toucancove/toucancove/settings"
 	"github.com/toucancove/toucancove/telemetry"
@@ -108,6 +109,19 @@
 	return 0
 }
 
+// liftQuarantine takes a request out of quarantine, and prints how many crashes counted
+// against it.
+func liftQuarantine(control, digest string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	crashes, err := mesh.LiftQuarantine(ctx, control, digest)
+	if err != nil {
+		return fail(err)
+	}
+	fmt.Printf("%s: %d crashes cleared\n", digest, crashes)
+	return 0
+}
+
 // keyDigest reads a key from standard input and prints its digest, the form in
 // which keys are published.
 func keyDigest() int {
--- a/cmd/toucancove/main.go
+++ b/cmd/toucancove/main.go
@@ -35,6 +35,11 @@
 	statusCmd := app.Command("status", "Show a running node's view of itself.")
 	statusAddress := statusCmd.Flag("operator", "Operator listener of the node, or metrics listener of a node of a mesh, as IP:port.").Required().String()
 
+	quarantineCmd := app.Command("quarantine", "Work with requests that are kept from instances since they crash them.")
+	liftCmd := quarantineCmd.Command("lift", "Let a request run again on all nodes of a mesh. The status lists those in quarantine.")
+	liftControl := liftCmd.Flag("control", "Control listener of any node of the mesh, as IP:port.").Required().String()
+	liftDigest := liftCmd.Arg("digest", "Digest of the request.").Required().String()
+
 	keysCmd := app.Command("keys", "Work with workspace keys.")
 	digestCmd := keysCmd.Command("digest", "Read a key from standard input and print its digest.")
 
@@ -54,6 +59,8 @@
 		return checkConfig(*checkName, *checkFile)
 	case statusCmd.FullCommand():
 		return showStatus(*statusAddress)
+	case liftCmd.FullCommand():
+		return liftQuarantine(*liftControl, *liftDigest)
 	case digestCmd.FullCommand():
 		return keyDigest()
 	case versionCmd.FullCommand():
--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -241,6 +241,16 @@
 	return q.table.Len() > 0 && q.table.IsQuarantined(identity().Digest())
 }
 
+// lift takes a request out of quarantine, on this node at once and on the others within
+// two draws. It returns the number of crashes that counted against the request.
+func (q *quarantines) lift(d quarantine.Digest) (crashes int) {
+	q.mu.Lock()
+	change := q.table.Clear(d, quarantine.SourceOperator)
+	q.mu.Unlock()
+	q.changed(change)
+	return change.Before
+}
+
 // expire forgets requests that have not been seen for long.
 func (q *quarantines) expire(now time.Time) {
 	q.mu.Lock()
--- a/mesh/quarantinewire.go
+++ b/mesh/quarantinewire.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/base64"
+	"errors"
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/toucancove/toucancove/core/catalog"
@@ -166,3 +168,26 @@
 	s.quarantines.merge(marksFrom(in.Marks), in.Node)
 	return &meshpb.MarkReportReply{}, nil
 }
+
+// LiftQuarantine implements the twirp service.
+func (s *controlService) LiftQuarantine(_ context.Context, in *meshpb.LiftRequest) (*meshpb.LiftReply, error) {
+	if len(in.Digest) != len(quarantine.Digest{}) {
+		return nil, twirp.InvalidArgumentError("digest", "has a wrong length")
+	}
+	return &meshpb.LiftReply{Crashes: uint32(s.quarantines.lift(quarantine.Digest(in.Digest)))}, nil
+}
+
+// ErrInvalidDigest means that a text is not the digest of a request.
+var ErrInvalidDigest = errors.New("mesh: digest is not valid")
+
+// LiftQuarantine asks the node with a control address to take a request out of
+// quarantine in the fleet. It returns the number of crashes that counted against it.
+// Errors are ErrInvalidDigest or those of the call.
+func LiftQuarantine(ctx context.Context, controlAddress, digest string) (crashes int, err error) {
+	d, ok := quarantine.ParseDigest(digest)
+	if !ok {
+		return 0, ErrInvalidDigest
+	}
+	reply, err := newControlClients().client(controlAddress).LiftQuarantine(ctx, &meshpb.LiftRequest{Digest: d[:]})
+	return int(reply.GetCrashes()), err
+}
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -48,6 +48,8 @@
 	// if none is known.
 	Collector  member.InstanceID `json:"collector"`
 	Workspaces []QuotaStatus     `json:"workspaces"`
+	// Quarantine holds the requests that are kept from the instances.
+	Quarantine []QuarantineStatus `json:"quarantine"`
 }
 
 // GuardStatus describes the admission queue of the own instance.
@@ -89,6 +91,18 @@
 	usage.Status
 }
 
+// QuarantineStatus describes a crash that counts against a request in quarantine.
+type QuarantineStatus struct {
+	Digest string `json:"digest"`
+	// Instance and Boot identify the start of the instance that crashed, Age is the
+	// time since.
+	Instance member.InstanceID `json:"instance"`
+	Boot     member.BootID     `json:"boot"`
+	Age      time.Duration     `json:"ageNs"`
+	// Source is how the node learned of the crash.
+	Source string `json:"source"`
+}
+
 // Status returns the node's view at the given time.
 func (n *Node) Status(now time.Time) Status {
 	state := n.follower.State()
@@ -109,6 +123,7 @@
 		s.ConfirmedAge = &age
 	}
 	s.Collector = n.quota.collector(now)
+	s.Quarantine = n.quarantines.statuses(now)
 	return s
 }
 
@@ -176,6 +191,20 @@
 	return list
 }
 
+func (q *quarantines) statuses(now time.Time) []QuarantineStatus {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := []QuarantineStatus{}
+	for _, m := range q.table.Quarantined(now) {
+		if !m.Cleared {
+			list = append(list, QuarantineStatus{
+				Digest: m.Digest.String(), Instance: m.Crash.Instance, Boot: m.Crash.Boot, Age: m.Age, Source: m.Source,
+			})
+		}
+	}
+	return list
+}
+
 // collector returns the instance whose node is the collector in this node's view,
 // empty if none is known.
 func (q *quota) collector(now time.Time) member.InstanceID {
