Ask for quarantined requests before a node is ready

A restarted node has no marks until its first draw, and the collector, which draws from itself, until the others draw from it. A client of its own machine could send it a request in quarantine in between, and it would run.

A node is ready only after its first draw; a collector asks one of the nodes that will draw from it.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -165,7 +165,7 @@
 // Ready reports whether the node accepts requests of clients.
 func (n *Node) Ready() bool {
 	state := n.follower.State()
-	return !n.leaving.Load() && state.Catalog != nil && state.Directory != nil && n.follower.Joined()
+	return !n.leaving.Load() && state.Catalog != nil && state.Directory != nil && n.follower.Joined() && n.quota.drawn.Load()
 }
 
 const (
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// A client may send to a node from the moment at which it is ready.
+func TestRestartedNodeKnowsQuarantineOnceItIsReady(t *testing.T) {
+	for restarted := range 2 {
+		r, _ := startRig(t, ok, ok)
+		d := r.quarantinePath(0, "/safe/lethal")
+		for i := range r.nodes {
+			r.eventually(fmt.Sprintf("node %d knows the request", i), func() bool { return r.nodes[i].isQuarantined(d) })
+		}
+		r.restart(restarted)
+		if !r.nodes[len(r.nodes)-1].isQuarantined(d) {
+			t.Errorf("node %d is ready and does not know the request", restarted)
+		}
+	}
+}
+
 func TestOperatorLiftsQuarantineOnAllNodes(t *testing.T) {
 	r, _ := startRig(t, ok, ok)
 	d := r.quarantinePath(0, "/safe/lethal")
--- a/mesh/quota.go
+++ b/mesh/quota.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,6 +65,9 @@
 	// wake makes run draw at once: when the first list has been received, and when a
 	// draw was redirected to an instance that may have failed.
 	wake chan struct{}
+	// drawn is set once the node has drawn for the first time, successfully or not. The
+	// replies bring the marks that other nodes know.
+	drawn atomic.Bool
 }
 
 // pendingDraw is a draw on demand in flight for one workspace. done is closed when it
@@ -214,6 +219,33 @@
 		}
 		last = time.Now()
 		q.drawForAll(ctx)
+		if !q.drawn.Load() && q.state().Directory != nil {
+			q.askForMarks(ctx)
+			q.drawn.Store(true)
+		}
+	}
+}
+
+// askForMarks makes a collector that has just started exchange marks with one of the
+// nodes that will draw from it. Other nodes receive them with their first draw.
+func (q *quota) askForMarks(ctx context.Context) {
+	candidates, own := q.candidates(q.state().Instances())
+	if q.collector(time.Now()) != own {
+		return
+	}
+	tried := []member.InstanceID{own}
+	for range maxDrawHops {
+		id, ok := member.First(candidates, func(id member.InstanceID) bool { return slices.Contains(tried, id) })
+		if !ok {
+			return
+		}
+		tried = append(tried, id)
+		bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+		_, err := q.drawFrom(bounded, id, nil)
+		cancel()
+		if err == nil {
+			return
+		}
 	}
 }
 
