Take a refused connection for a crash only with lost responses

An instance that stops to listen and finishes its runs refuses connections too. All that ran there were marked as suspects of a crash, though their responses came. The crash now needs a lost response as well. Test first: TestRefusedConnectionAloneMarksNothing failed with 1 request marked.

--- a/core/quarantine/gate.go
+++ b/core/quarantine/gate.go
@@ -200,9 +200,10 @@
 // HasEnded reports whether the instance has crashed and has not responded since.
 func (g *Gate) HasEnded() bool { return g.ended }
 
-// Ended records that the instance has crashed, and marks the suspects.
+// Ended records that the instance refuses connections. If it has lost responses as well,
+// it has crashed, and the suspects are marked.
 func (g *Gate) Ended(now time.Time) (Crash, []Change) {
-	if g.ended || g.instance.Instance == "" {
+	if g.ended || g.instance.Instance == "" || !g.hasLosses(now) {
 		return Crash{}, nil
 	}
 	g.ended = true
