--- a/mesh/zone_test.go
+++ b/mesh/zone_test.go
@@ -17,8 +17,8 @@
 	"github.com/toucancove/toucancove/follow"
 )
 
-// severableStore is the store as one node reaches it. Once severed, calls that are
-// pending and later ones get no response.
+// severableStore is the store as one node reaches it. While it is severed, calls that are
+// pending and new ones get no response, also later.
 type severableStore struct {
 	*memoryStore
 	severed atomic.Bool
@@ -33,6 +33,9 @@
 }
 
 func (s *severableStore) Read(ctx context.Context) (follow.Snapshot, error) {
+	if silent := s.silence(ctx); silent != nil {
+		return follow.Snapshot{}, silent
+	}
 	snapshot, err := s.memoryStore.Read(ctx)
 	if silent := s.silence(ctx); silent != nil {
 		return follow.Snapshot{}, silent
@@ -41,6 +44,9 @@
 }
 
 func (s *severableStore) Watch(ctx context.Context, after catalog.Position, wait time.Duration) (follow.Changes, error) {
+	if silent := s.silence(ctx); silent != nil {
+		return follow.Changes{}, silent
+	}
 	changes, err := s.memoryStore.Watch(ctx, after, wait)
 	if silent := s.silence(ctx); silent != nil {
 		return follow.Changes{}, silent
@@ -142,3 +148,46 @@
 		}
 	}
 }
+
+// The store falls silent for all nodes. Calls that are under way then, and those made
+// until the last moment before it is back, get no response at any time. What is
+// published after it is back must be in force in time, or when its instability is no
+// longer an excuse.
+func TestZoneFollowsTheStoreAfterCallsLostInItsOutage(t *testing.T) {
+	const (
+		nodes       = 4
+		applyWithin = 2 * time.Second
+		stableAfter = 3 * time.Second
+		step        = 150 * time.Millisecond
+	)
+	for _, silentFor := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond, 3300 * time.Millisecond} {
+		for began := time.Duration(0); began < time.Second; began += step {
+			for published := time.Duration(0); published <= stableAfter; published += 500 * time.Millisecond {
+				t.Run(fmt.Sprintf("silent for %v from %v, published after %v", silentFor, began, published), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						z := startFollowedZone(t, nodes, applyWithin)
+						time.Sleep(10*time.Second + began)
+						z.sever(true)
+						time.Sleep(silentFor)
+						z.sever(false)
+						time.Sleep(published)
+						z.store.publish(func(s *memoryStore) { s.definition = zoneConfiguration(2) })
+						time.Sleep(max(applyWithin, stableAfter-published))
+						for i, f := range z.followers {
+							if f.State().Version() != 2 {
+								t.Errorf("node %d has version %d", i, f.State().Version())
+							}
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// sever severs the store for all nodes, or ends that.
+func (z *followedZone) sever(severed bool) {
+	for _, s := range z.stores {
+		s.severed.Store(severed)
+	}
+}
