--- a/mesh/guardcrash.go
+++ b/mesh/guardcrash.go
@@ -29,10 +29,13 @@
 func (g *guard) endRun(ctx context.Context, run *quarantine.Run, received *receivedResponse, err error) outcome {
 	if err == nil {
 		o := classifyResponse(received, g.cfg.headers.NotRun)
-		if o.run == runYes {
-			g.cfg.quarantines.served(run)
-		} else {
+		switch {
+		case o.run != runYes:
 			g.cfg.quarantines.abandoned(run)
+		case received.stream != nil:
+			received.stream.onClose = func(s *responseStream) { g.endStream(run, s) }
+		default:
+			g.cfg.quarantines.served(run)
 		}
 		return o
 	}
@@ -55,6 +58,20 @@
 	return o
 }
 
+// endStream records how a run ended whose response was streamed.
+func (g *guard) endStream(run *quarantine.Run, s *responseStream) {
+	switch {
+	case s.complete:
+		g.cfg.quarantines.served(run)
+	case s.broken && g.mayCrash():
+		if !g.cfg.quarantines.lost(run) {
+			g.startCrashCheck()
+		}
+	default:
+		g.cfg.quarantines.abandoned(run)
+	}
+}
+
 // mayCrash reports whether an end of the own instance would be a crash: it is listed and
 // has not announced to leave.
 func (g *guard) mayCrash() bool {
@@ -62,28 +79,31 @@
 }
 
 // responseLost checks whether a response was lost because the own instance has crashed.
-// A check under way serves all responses lost meanwhile.
 func (g *guard) responseLost(run *quarantine.Run) (crashed bool) {
 	if g.cfg.quarantines.lost(run) {
 		return true
 	}
-	g.mu.Lock()
-	check := g.crashCheck
-	if check == nil {
-		check = &crashCheck{done: make(chan struct{})}
-		g.crashCheck = check
-		go g.checkCrash(check)
-	}
-	g.mu.Unlock()
 	timer := time.NewTimer(crashCheckTimeout)
 	defer timer.Stop()
 	select {
-	case <-check.done:
+	case <-g.startCrashCheck().done:
 	case <-timer.C:
 	}
 	return g.cfg.quarantines.hasCrashed()
 }
 
+// startCrashCheck starts a check whether the own instance has crashed, or returns the one
+// under way.
+func (g *guard) startCrashCheck() *crashCheck {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.crashCheck == nil {
+		g.crashCheck = &crashCheck{done: make(chan struct{})}
+		go g.checkCrash(g.crashCheck)
+	}
+	return g.crashCheck
+}
+
 // checkCrash finds out whether the own instance has crashed: all idle connections are
 // closed, and a new one is refused.
 func (g *guard) checkCrash(check *crashCheck) {
--- a/mesh/mortal_test.go
+++ b/mesh/mortal_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/toucancove/toucancove/core/catalog"
 	"github.com/toucancove/toucancove/core/member"
+	"github.com/toucancove/toucancove/core/quarantine"
 )
 
 // lethalPath is the path under which requests crash the instances that run them.
@@ -28,6 +29,8 @@
 	runFor time.Duration
 	// downFor is the time until the instance is back, under a new id.
 	downFor time.Duration
+	// streamed is the number of bytes of the response that are sent before the crash.
+	streamed int
 }
 
 // crashLog records the runs of lethal requests and the crashes at all instances.
@@ -184,6 +187,10 @@
 		if m.dropped(conn) {
 			return
 		}
+		if n := m.mortality.streamed; n > 0 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
+				r.Header.Get(testHeaders.RequestID), 2*n, strings.Repeat("x", n))
+		}
 		m.crash(id, r.URL.Path)
 		return
 	}
@@ -319,3 +326,26 @@
 		})
 	}
 }
+
+// A response is complete only at the end of its stream.
+func TestCrashDuringStreamedResponseMarksTheRequest(t *testing.T) {
+	const streamed = 4 * maxBufferedResponse
+	for sender := range 2 { // to the own instance or to the other one
+		r, log := startMortalRig(t, 2, mortality{runFor: 20 * time.Millisecond, downFor: time.Minute, streamed: streamed})
+		if got := r.send(sender, lethalPath, "id", nil); got.err == nil && got.status == http.StatusOK {
+			t.Errorf("a response that broke off was received as complete, with %d bytes", len(got.body))
+		}
+		if log.totalCrashes() == 0 {
+			t.Fatal("no instance has crashed")
+		}
+		d := quarantine.NewRequest([]byte(http.MethodPost), []byte("h"), []byte(lethalPath), []byte("big"), []byte("body"), false, 0).Digest()
+		r.eventually("the request is marked on all nodes", func() bool {
+			for _, n := range r.nodes {
+				if len(n.marks(d)) == 0 {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -27,6 +27,12 @@
 	return n.quarantines.table.IsQuarantined(d)
 }
 
+func (n *Node) marks(d quarantine.Digest) []quarantine.Mark {
+	n.quarantines.mu.Lock()
+	defer n.quarantines.mu.Unlock()
+	return n.quarantines.table.Marks(time.Now(), d)
+}
+
 func TestQuarantinedRequestIsRefusedAsNotRun(t *testing.T) {
 	for _, kind := range []string{"safe", "once"} {
 		r, servers := startRig(t, ok, ok)
--- a/mesh/reply.go
+++ b/mesh/reply.go
@@ -15,7 +15,7 @@
 type receivedResponse struct {
 	raw    *fasthttp.Response
 	body   []byte
-	stream io.ReadCloser
+	stream *responseStream
 }
 
 // release frees the response. It closes a stream without reading the rest.
@@ -52,6 +52,10 @@
 	head     []byte
 	tail     io.Reader
 	complete bool
+	// broken is set once the other side has ended the body early.
+	broken bool
+	// onClose, if set, is called when the stream is closed.
+	onClose func(s *responseStream)
 }
 
 // Read implements io.Reader. It returns io.EOF only after the complete body.
@@ -62,8 +66,11 @@
 		return n, nil
 	}
 	n, err := s.tail.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		s.complete = true
+	case err != nil:
+		s.broken = true
 	}
 	return n, err
 }
@@ -75,6 +82,9 @@
 	}
 	conn := s.conn
 	s.conn = nil
+	if s.onClose != nil {
+		s.onClose(s)
+	}
 	if !s.complete {
 		return conn.Close()
 	}
