Decide and start the run of a suspect in one step

Two suspects could both pass the check at an instance before either was recorded as running, so that both ran when it crashed. Begin checks again under the same lock, also for a request that waited for a slot. A crash under which only requests ran that the instance had served before is logged too, and responses of instances no longer look up marks.

--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -317,7 +317,7 @@
 		})
 		return
 	}
-	run := n.gate.Begin(f.now, r)
+	run, _, _ := n.gate.Begin(f.now, r)
 	a := &attempt{job: j, node: n}
 	n.active[run] = a
 	j.sends++
--- a/core/quarantine/gate.go
+++ b/core/quarantine/gate.go
@@ -98,7 +98,7 @@
 	return slices.ContainsFunc(g.lost, func(l loss) bool { return now.Sub(l.at) <= lossWindow })
 }
 
-// Check decides about a request that has arrived, without starting it.
+// Check decides about a request that has arrived.
 func (g *Gate) Check(now time.Time, r *Request) (Verdict, Change) {
 	if g.table.Len() == 0 {
 		return Pass, Change{}
@@ -120,11 +120,15 @@
 	return Pass, Change{}
 }
 
-// Begin starts a request that Check has passed.
-func (g *Gate) Begin(now time.Time, r *Request) *Run {
+// Begin decides like Check, and starts the run of a request that passes.
+func (g *Gate) Begin(now time.Time, r *Request) (*Run, Verdict, Change) {
+	verdict, change := g.Check(now, r)
+	if verdict != Pass {
+		return nil, verdict, change
+	}
 	run := &Run{request: r, began: now, crashes: g.crashes(now, r)}
 	g.running[run] = struct{}{}
-	return run
+	return run, Pass, change
 }
 
 // crashes returns the number of crashes that count against a request.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -151,6 +151,16 @@
 
 func crashOf(instance string) Crash { return Crash{Instance: member.InstanceID(instance), Boot: 1} }
 
+// begin starts a run that the gate must let pass.
+func (g *Gate) begin(t *testing.T, at time.Time, r *Request) *Run {
+	t.Helper()
+	run, verdict, _ := g.Begin(at, r)
+	if verdict != Pass {
+		t.Fatalf("verdict %d, want Pass", verdict)
+	}
+	return run
+}
+
 // quarantined returns a gate whose table holds a request that crashed two instances.
 func quarantined(now time.Time, r *Request) *Gate {
 	g := NewGate(NewTable(1))
@@ -190,9 +200,9 @@
 func TestLostResponsesOfLiveInstanceMarkNothing(t *testing.T) {
 	g := NewGate(NewTable(1))
 	g.Started(start, crashOf("i-0"))
-	lost := g.Begin(start, request("/lost"))
+	lost := g.begin(t, start, request("/lost"))
 	g.Lost(start.Add(time.Millisecond), lost)
-	g.Served(start.Add(20*time.Millisecond), g.Begin(start.Add(10*time.Millisecond), request("/later")))
+	g.Served(start.Add(20*time.Millisecond), g.begin(t, start.Add(10*time.Millisecond), request("/later")))
 	if _, marked := g.Started(start.Add(time.Second), crashOf("i-1")); len(marked) != 0 {
 		t.Errorf("%d requests marked, though the instance responded after the loss", len(marked))
 	}
@@ -201,7 +211,7 @@
 func TestRefusedConnectionAloneMarksNothing(t *testing.T) {
 	g := NewGate(NewTable(1))
 	g.Started(start, crashOf("i-0"))
-	run := g.Begin(start, request("/x"))
+	run := g.begin(t, start, request("/x"))
 	if _, marked := g.Ended(start); len(marked) != 0 || g.HasEnded() {
 		t.Errorf("%d requests marked while all responses may still come", len(marked))
 	}
@@ -214,7 +224,7 @@
 func TestCrashIsFoundByTheNextStart(t *testing.T) {
 	g := NewGate(NewTable(1))
 	g.Started(start, crashOf("i-0"))
-	g.Lost(start, g.Begin(start, request("/x")))
+	g.Lost(start, g.begin(t, start, request("/x")))
 	if _, marked := g.Started(start.Add(4*time.Second), crashOf("i-1")); len(marked) != 1 {
 		t.Errorf("%d requests marked, want 1", len(marked))
 	}
@@ -225,8 +235,8 @@
 	g.Started(start, crashOf("i-0"))
 	suspect, other := request("/suspect"), request("/other")
 	g.table.Add(start, Mark{Digest: suspect.Digest(), Crash: crashOf("i-1")})
-	g.Lost(start, g.Begin(start, suspect))
-	g.Begin(start, other)
+	g.Lost(start, g.begin(t, start, suspect))
+	g.begin(t, start, other)
 	g.Ended(start)
 	if !g.table.IsQuarantined(suspect.Digest()) || g.table.standing(start, other.Digest()).crashes != 0 {
 		t.Error("want the suspect in quarantine and the other request unmarked")
@@ -244,7 +254,7 @@
 	if v, _ := g.Check(start, own); v != Elsewhere {
 		t.Errorf("verdict %d about a suspect of the own instance, want Elsewhere", v)
 	}
-	run := g.Begin(start, a)
+	run := g.begin(t, start, a)
 	if v, _ := g.Check(start, b); v != Busy {
 		t.Errorf("verdict %d beside a running suspect, want Busy", v)
 	}
@@ -272,7 +282,7 @@
 		}
 		if v, _ := g.Check(start.Add(firstTrialDelay), r); v == Pass {
 			testers++
-			run := g.Begin(start.Add(firstTrialDelay), r)
+			run := g.begin(t, start.Add(firstTrialDelay), r)
 			if stop := g.Stop(start.Add(firstTrialDelay)); len(stop) != 0 {
 				t.Error("the trial is stopped")
 			}
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -118,9 +118,6 @@
 	Entered, Left bool
 }
 
-// IsEmpty reports whether nothing has changed.
-func (c Change) IsEmpty() bool { return c.Before == c.After }
-
 // change applies a change to a request.
 func (t *Table) change(d Digest, s *suspect, apply func()) Change {
 	before, was := s.crashes(), t.isQuarantined(s)
@@ -129,7 +126,7 @@
 	return Change{Digest: d, Before: before, After: s.crashes(), Entered: is && !was, Left: was && !is}
 }
 
-// Add merges a mark. The change is empty if that was not new.
+// Add merges a mark.
 func (t *Table) Add(now time.Time, m Mark) Change {
 	s := t.suspects[m.Digest]
 	if s == nil {
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -335,9 +335,7 @@
 		r.out.Header.Set(headerLimit, formatRate(limit))
 	}
 	r.out.Header.Del(headerMarks)
-	if marks := e.cfg.quarantines.marksOf(func() *quarantine.Request { return e.identity(r) }); len(marks) > 0 {
-		setMarks(&r.out.Header, marks)
-	}
+	setMarks(&r.out.Header, e.cfg.quarantines.marksOf(func() *quarantine.Request { return e.identity(r) }))
 	setBudget(&r.out.Header, e.cfg.headers.Budget, left)
 	return e.cfg.peers.send(ctx, r, target)
 }
--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -161,8 +161,8 @@
 	if g.cfg.closed.Load() {
 		return refusedOutcome(reasonLeaving, "")
 	}
-	if reason, ok := g.cfg.quarantines.check(c.identity); !ok {
-		return refusedOutcome(reason, "")
+	if refused := g.cfg.quarantines.check(c.identity); refused != "" {
+		return refusedOutcome(refused, "")
 	}
 	verdict := g.acquire(ctx, c)
 	switch verdict {
@@ -177,11 +177,6 @@
 		}
 		return refusedOutcome(reasonInstanceOverloaded, "")
 	}
-	// A suspect may have started, or a report of a crash arrived, while this one waited.
-	if reason, ok := g.cfg.quarantines.check(c.identity); !ok {
-		g.release("", 0, false)
-		return refusedOutcome(reason, "")
-	}
 	started := time.Now()
 	o := g.send(ctx, c)
 	g.release(c.route, time.Since(started), o.run == runYes)
@@ -290,7 +285,11 @@
 	g.cfg.calls.begin(p)
 	defer g.cfg.calls.end(p)
 	sent := time.Now()
-	run, runCtx := g.cfg.quarantines.begin(ctx, c.identity)
+	// Another suspect may have started, or a report of a crash arrived, since the check.
+	run, runCtx, refused := g.cfg.quarantines.begin(ctx, c.identity)
+	if refused != "" {
+		return refusedOutcome(refused, "")
+	}
 	received, err := g.pool.exchange(runCtx, c.request, exchangeOptions{deadline: c.deadline, atMostOnce: c.atMostOnce})
 	if err == nil {
 		g.observeAnnouncements(sent, received)
@@ -389,8 +388,8 @@
 			ctx.Response.Header.Set(headerEra, era)
 		}
 	}
-	if marks := g.cfg.quarantines.marksOf(func() *quarantine.Request { return c.identity }); o.response == nil && len(marks) > 0 {
-		setMarks(&ctx.Response.Header, marks)
+	if o.response == nil {
+		setMarks(&ctx.Response.Header, g.cfg.quarantines.marksOf(func() *quarantine.Request { return c.identity }))
 	}
 	if o.response == nil || o.run == runNo {
 		g.cfg.report.guardDecision(ctx, c, &o, time.Since(arrived))
--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -78,33 +78,41 @@
 }
 
 // check decides whether a request may run on the own instance. It returns the reason of
-// a refusal.
-func (q *quarantines) check(r *quarantine.Request) (refused reason, ok bool) {
+// a refusal, empty if it may.
+func (q *quarantines) check(r *quarantine.Request) reason {
 	q.mu.Lock()
 	verdict, change := q.gate.Check(time.Now(), r)
 	q.mu.Unlock()
 	q.changed(change)
-	switch verdict {
+	return refusalReason(verdict)
+}
+
+// begin decides like check and, unless it refuses, records the start of a run on the own
+// instance, which ends with the context that it returns.
+func (q *quarantines) begin(ctx context.Context, r *quarantine.Request) (*quarantine.Run, context.Context, reason) {
+	q.mu.Lock()
+	run, verdict, change := q.gate.Begin(time.Now(), r)
+	if run != nil {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		q.cancels[run] = cancel
+	}
+	q.mu.Unlock()
+	q.changed(change)
+	return run, ctx, refusalReason(verdict)
+}
+
+func refusalReason(v quarantine.Verdict) reason {
+	switch v {
 	case quarantine.Pass:
-		return "", true
+		return ""
 	case quarantine.Refuse:
-		return reasonQuarantined, false
+		return reasonQuarantined
 	default:
-		return reasonSuspect, false
+		return reasonSuspect
 	}
 }
 
-// begin records the start of a run on the own instance, which ends with the context
-// that it returns.
-func (q *quarantines) begin(ctx context.Context, r *quarantine.Request) (*quarantine.Run, context.Context) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	run := q.gate.Begin(time.Now(), r)
-	q.cancels[run] = cancel
-	return run, ctx
-}
-
 // end forgets the cancellation of a run. The caller holds mu.
 func (q *quarantines) end(run *quarantine.Run) {
 	if cancel := q.cancels[run]; cancel != nil {
@@ -154,10 +162,10 @@
 	q.reportCrash("connection refused", crash, marked)
 }
 
-// reportCrash logs a crash of the own instance under which requests ran, and tells the
-// other nodes.
+// reportCrash logs a crash of the own instance, if there was one, and tells the other
+// nodes of the requests that it marked.
 func (q *quarantines) reportCrash(seen string, crash quarantine.Crash, marked []quarantine.Change) {
-	if len(marked) == 0 {
+	if crash == (quarantine.Crash{}) {
 		return
 	}
 	q.metrics.Counter("quarantine.crashes").Inc(1)
@@ -170,7 +178,10 @@
 		}
 	}
 	q.log.Info("instance crashed", "upstream", crash.Instance, "boot", crash.Boot, "seen", seen,
-		"suspects", len(marked), "suspectsBefore", suspectsBefore, "first", marked[0].Digest.String())
+		"suspects", len(marked), "suspectsBefore", suspectsBefore)
+	if len(marked) == 0 {
+		return
+	}
 	q.changed(marked...)
 	q.report(marks)
 }
--- a/mesh/quarantinewire.go
+++ b/mesh/quarantinewire.go
@@ -109,9 +109,12 @@
 	return base64.RawStdEncoding.EncodeToString(raw), nil
 }
 
-// setMarks sends marks with a request or a response. They are left out if they can't be
-// encoded: other ways of the exchange carry them too.
+// setMarks sends marks, if there are any, with a request or a response. They are left out
+// if they can't be encoded: other ways of the exchange carry them too.
 func setMarks(header interface{ Set(key, value string) }, marks []quarantine.Mark) {
+	if len(marks) == 0 {
+		return
+	}
 	if value, err := encodeMarks(marks); err == nil {
 		header.Set(headerMarks, value)
 	}
