Mark runs that were given up when their instance crashes later

Some instances do not notice that a connection was closed and go on with the run.

Runs that were given up stay suspects for 5 s, 256 at most, and count as lost responses if the instance then refuses connections.

--- a/core/quarantine/gate.go
+++ b/core/quarantine/gate.go
@@ -14,6 +14,10 @@
 	// An instance that was not seen to refuse connections is listed again under
 	// another start a few seconds later.
 	lossWindow = 10 * time.Second
+	// leftWindow is how long a run that was given up may go on: some instances do not
+	// notice that its connection is closed. maxLeft bounds the number of such runs.
+	leftWindow = 5 * time.Second
+	maxLeft    = 256
 	// firstTrialDelay is the time from the second crash to the trial of a request in
 	// quarantine, trialBackoff the factor for each further crash.
 	firstTrialDelay = 10 * time.Minute
@@ -46,7 +50,8 @@
 	crashes int
 }
 
-// loss is a lost response. served is set if the instance had served the request before.
+// loss is a run that ended without a response. served is set if the instance had served
+// the request before.
 type loss struct {
 	request *Request
 	at      time.Time
@@ -66,6 +71,8 @@
 	// lost are the responses that were lost since the start of the last run to which
 	// the instance has responded.
 	lost []loss
+	// left are the runs that were given up and may go on.
+	left []loss
 	// ended is set once this start of the instance has crashed.
 	ended bool
 }
@@ -87,15 +94,20 @@
 	if !g.ended && g.hasLosses(now) {
 		crash, marked = g.Ended(now)
 	}
-	g.instance, g.lost, g.ended = instance, nil, false
+	g.instance, g.lost, g.left, g.ended = instance, nil, nil, false
 	g.served.reset()
 	return crash, marked
 }
 
-// hasLosses reports whether responses were lost recently. Runs in flight alone say
-// nothing.
+// hasLosses reports whether responses were lost recently, or would have been if their
+// runs had not been given up. Runs in flight alone say nothing.
 func (g *Gate) hasLosses(now time.Time) bool {
-	return slices.ContainsFunc(g.lost, func(l loss) bool { return now.Sub(l.at) <= lossWindow })
+	return slices.ContainsFunc(g.lost, within(now, lossWindow)) || slices.ContainsFunc(g.left, within(now, leftWindow))
+}
+
+// within returns a function that reports whether a run ended within a window.
+func within(now time.Time, window time.Duration) func(loss) bool {
+	return func(l loss) bool { return now.Sub(l.at) <= window }
 }
 
 // Check decides about a request that has arrived.
@@ -188,6 +200,22 @@
 // Abandoned records that a run ended without evidence about the instance.
 func (g *Gate) Abandoned(run *Run) { delete(g.running, run) }
 
+// Left records that a run was given up, and that it may go on at the instance.
+func (g *Gate) Left(now time.Time, run *Run) {
+	delete(g.running, run)
+	if len(g.left) == maxLeft || (len(g.left) > 0 && !within(now, leftWindow)(g.left[0])) {
+		g.left = slices.Delete(g.left, 0, 1)
+	}
+	g.left = append(g.left, g.lossOf(now, run))
+}
+
+// lossOf returns a run that ended without a response.
+func (g *Gate) lossOf(now time.Time, run *Run) loss {
+	served := g.served.recently(now, run.request)
+	run.request.release()
+	return loss{request: run.request, at: now, served: served}
+}
+
 // Lost records that the response to a run was lost, although the instance did not leave
 // as planned. It reports whether the crash of the instance is known already.
 func (g *Gate) Lost(now time.Time, run *Run) (crashed bool) {
@@ -195,9 +223,7 @@
 	if g.ended {
 		return true
 	}
-	served := g.served.recently(now, run.request)
-	run.request.release()
-	g.lost = append(g.lost, loss{request: run.request, at: now, served: served})
+	g.lost = append(g.lost, g.lossOf(now, run))
 	return false
 }
 
@@ -215,7 +241,7 @@
 	for _, r := range g.suspects(now) {
 		marked = append(marked, g.table.Add(now, Mark{Digest: r.Digest(), Crash: g.instance, Source: SourceOwn}))
 	}
-	g.lost = nil
+	g.lost, g.left = nil, nil
 	return g.instance, marked
 }
 
@@ -233,7 +259,12 @@
 		}
 	}
 	for _, l := range g.lost {
-		if now.Sub(l.at) <= lossWindow {
+		if within(now, lossWindow)(l) {
+			add(l.request, l.served)
+		}
+	}
+	for _, l := range g.left {
+		if within(now, leftWindow)(l) {
 			add(l.request, l.served)
 		}
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -221,6 +221,26 @@
 	}
 }
 
+// Some instances go on with a run whose connection was closed.
+func TestCrashAfterTheRunWasGivenUpMarksIt(t *testing.T) {
+	for _, after := range []time.Duration{leftWindow, leftWindow + time.Second} {
+		g := NewGate(NewTable(1))
+		g.Started(start, crashOf("i-0"))
+		g.Left(start, g.begin(t, start, request("/x")))
+		_, marked := g.Ended(start.Add(after))
+		if want := after <= leftWindow; (len(marked) == 1) != want {
+			t.Errorf("%d requests marked by a crash %v after the run was given up, want one: %v", len(marked), after, want)
+		}
+	}
+	g := NewGate(NewTable(1))
+	for i := range 3 * maxLeft {
+		g.Left(start, g.begin(t, start, request(fmt.Sprint("/", i))))
+	}
+	if len(g.left) > maxLeft {
+		t.Errorf("%d runs are kept, want at most %d", len(g.left), maxLeft)
+	}
+}
+
 func TestCrashIsFoundByTheNextStart(t *testing.T) {
 	g := NewGate(NewTable(1))
 	g.Started(start, crashOf("i-0"))
--- a/mesh/guardcrash.go
+++ b/mesh/guardcrash.go
@@ -52,8 +52,10 @@
 		if g.mayCrash() {
 			g.cfg.quarantines.crashed()
 		}
-	default:
+	case o.run == runNo || !g.mayCrash():
 		g.cfg.quarantines.abandoned(run)
+	default:
+		g.cfg.quarantines.left(run)
 	}
 	return o
 }
@@ -68,7 +70,7 @@
 			g.startCrashCheck()
 		}
 	default:
-		g.cfg.quarantines.abandoned(run)
+		g.cfg.quarantines.left(run)
 	}
 }
 
--- a/mesh/mortal_test.go
+++ b/mesh/mortal_test.go
@@ -31,6 +31,8 @@
 	downFor time.Duration
 	// streamed is the number of bytes of the response that are sent before the crash.
 	streamed int
+	// stubborn instances go on with a run whose connection was closed.
+	stubborn bool
 }
 
 // crashLog records the runs of lethal requests and the crashes at all instances.
@@ -199,6 +201,10 @@
 // dropped waits until a lethal run ends. It reports whether its connection was closed
 // before, so that the run is dropped.
 func (m *mortalInstance) dropped(conn net.Conn) bool {
+	if m.mortality.stubborn {
+		time.Sleep(m.mortality.runFor)
+		return false
+	}
 	_ = conn.SetReadDeadline(time.Now().Add(m.mortality.runFor))
 	_, err := conn.Read(make([]byte, 1))
 	return !errors.Is(err, os.ErrDeadlineExceeded)
@@ -280,6 +286,7 @@
 const (
 	stabilityWindow = 3 * time.Second
 	maxLateRuns     = 3
+	maxCrashes      = 3
 	innocentShare   = 0.99
 )
 
@@ -327,6 +334,28 @@
 	}
 }
 
+// The run outlasts the route's timeout, and the instance crashes after the client has got
+// its answer.
+func TestRequestThatCrashesInstancesAfterItsTimeoutIsNotRunAgain(t *testing.T) {
+	const length = 14 * time.Second
+	timeout := testDefinition().Routes[0].Timeout
+	r, log := startMortalRig(t, 6, mortality{runFor: timeout + 500*time.Millisecond, downFor: 3 * time.Second, stubborn: true})
+	var pending sync.WaitGroup
+	sent := 0
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(3 * time.Second) {
+		sent++
+		id := fmt.Sprint("lethal-", sent)
+		pending.Go(func() { r.send(rand.N(6), lethalPath, id, nil) })
+		for i := range 12 { // so that crashes are noticed
+			pending.Go(func() { r.send(i%6, "/safe/shared/", fmt.Sprint(id, "-innocent-", i), nil) })
+		}
+	}
+	pending.Wait()
+	if crashes := log.totalCrashes(); crashes > maxCrashes {
+		t.Errorf("%d crashes by %d sends, want at most %d", crashes, sent, maxCrashes)
+	}
+}
+
 // A response is complete only at the end of its stream.
 func TestCrashDuringStreamedResponseMarksTheRequest(t *testing.T) {
 	const streamed = 4 * maxBufferedResponse
--- a/mesh/quarantine.go
+++ b/mesh/quarantine.go
@@ -138,6 +138,14 @@
 	q.gate.Abandoned(run)
 }
 
+// left records that a run was given up, and that it may go on at the own instance.
+func (q *quarantines) left(run *quarantine.Run) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.end(run)
+	q.gate.Left(time.Now(), run)
+}
+
 // lost records that the response to a run was lost. It reports whether the own instance
 // is known to have crashed.
 func (q *quarantines) lost(run *quarantine.Run) (crashed bool) {
