--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -52,6 +52,29 @@
 	}
 }
 
+// The request comes at all nodes within a second, so that many instances run it before
+// the first crashes.
+func TestRequestThatComesEverywhereAtOnceIsStopped(t *testing.T) {
+	const nodes, length = 200, 10 * time.Second
+	for _, lethal := range []time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 2 * time.Second} {
+		t.Run(fmt.Sprint("crash after ", lethal), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(nodes, 6)
+			f.sendInnocent(400, length)
+			for round := range 3 { // clients come back
+				for i := range nodes {
+					at := 2*time.Second + time.Duration(round)*3*time.Second + time.Duration(i)*time.Second/nodes
+					f.after(at, func() { f.send(f.nodes[i], "/lethal", lethal) })
+				}
+			}
+			f.run(length + 5*time.Second)
+			f.check(t, "/lethal")
+			t.Logf("%d crashes, %d runs; innocent %d served, %d refused, %d lost",
+				len(f.crashes["/lethal"]), len(f.lethalRuns["/lethal"]), f.served, f.refused, f.lost)
+		})
+	}
+}
+
 func (f *fleet) check(t *testing.T, lethal ...string) {
 	t.Helper()
 	for _, path := range lethal {
