Count crashes at the same moment as one cause

No third instance had run anything, so nothing showed another cause.

Two crashes within 10 ms no longer put a request in quarantine, a third does: a request that is retried after a crash hardly starts to run in that time.

--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -26,12 +26,15 @@
 	suspectRetention    = time.Hour
 	quarantineRetention = 24 * time.Hour
 	// quarantineCrashes is the number of crashes that put a request in quarantine. It
-	// takes maxCrashes if an instance that did not run the request crashed within
-	// unrelatedWindow of the last one: there is another cause as well, and where many
-	// instances crash an innocent request may run at two of them.
+	// takes maxCrashes if there seems to be another cause as well, since where many
+	// instances crash an innocent request may run at two of them: an instance that did
+	// not run the request crashed within unrelatedWindow of the last crash, or the
+	// crashes are closer than minCrashGap, in which a request that is retried hardly
+	// starts to run.
 	quarantineCrashes = 2
 	maxCrashes        = 3
 	unrelatedWindow   = 5 * time.Second
+	minCrashGap       = 10 * time.Millisecond
 )
 
 // Crash identifies the crash of one start of an instance.
@@ -200,7 +203,18 @@
 // isQuarantined reports whether enough crashes count against a request.
 func (t *Table) isQuarantined(s *suspect) bool {
 	n := s.crashes()
-	return n >= maxCrashes || (n >= quarantineCrashes && !t.hasUnrelated(s))
+	return n >= maxCrashes || (n >= quarantineCrashes && s.span() >= minCrashGap && !t.hasUnrelated(s))
+}
+
+// span returns the time from the first to the last crash that counts.
+func (s *suspect) span() time.Duration {
+	first, last := s.last(), s.last()
+	for i := range s.marks {
+		if m := &s.marks[i]; !m.cleared && m.at.Before(first) {
+			first = m.at
+		}
+	}
+	return last.Sub(first)
 }
 
 // hasUnrelated reports whether an instance that did not run the request crashed around
