--- a/review/standin/cutdownload.go
+++ b/review/standin/cutdownload.go
@@ -16,6 +16,7 @@
 		size      = 36 << 20
 		perSecond = 8 << 20
 		deadline  = 9 * time.Second
+		stable    = 4 * time.Second // more than StabilityWindowS
 	)
 	specs := []MachineSpec{
 		{Service: "desk", Zone: "fukuoka-a", Slots: 20, Work: 10 * time.Millisecond},
@@ -27,6 +28,7 @@
 	if err != nil {
 		return false, nil, err
 	}
+	time.Sleep(stable)
 	entry := w.Machines[0].Node
 	var group sync.WaitGroup
 	answers := make([]Answer, downloads)
