--- /dev/null
+++ b/core/drain/drain.go
@@ -0,0 +1,67 @@
+// Package drain decides the steps of a planned stop.
+//
+// A process may exit once no caller waits for it. A request counts from its first byte
+// until its response has been written, and the process accepts nothing more before it
+// waits for the last of them: otherwise a request that arrives between the last look and
+// the exit is passed on to an instance and then cut.
+package drain
+
+import "time"
+
+const (
+	// UnreadyNotice is the time for which a node still accepts requests after it
+	// reports that it is not ready. Clients check once a second and need two failed
+	// checks to stop sending.
+	UnreadyNotice = 2500 * time.Millisecond
+	// announceLead is how long before the end of UnreadyNotice the guard reports the
+	// stop to the entries of other nodes. They receive it with the next response, and
+	// the instance remains useful until then.
+	announceLead = 400 * time.Millisecond
+	// acceptShare is the share of the grace period for which a stopping node accepts
+	// requests of clients. Those must have time to complete.
+	acceptShare = 0.5
+	// stopShare is the share of the grace period after which the node exits even if
+	// requests are still running.
+	stopShare = 0.93
+)
+
+// Step is how far a planned stop has come. Each field stays set once it is.
+type Step struct {
+	// Announced: other nodes are told of the stop.
+	Announced bool
+	// RefusesPeers: requests of other nodes are refused.
+	RefusesPeers bool
+	// RefusesClients: requests of clients are refused. Calls of the own instance are
+	// accepted while it runs a request.
+	RefusesClients bool
+	// RefusesAll: nothing more is accepted, and connections without a request are closed.
+	RefusesAll bool
+	// Exit: the process may exit.
+	Exit bool
+}
+
+// Drain is a planned stop. The zero value is one that has just begun without a grace
+// period.
+type Drain struct {
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// refusesAll is Step.RefusesAll of the last call of Next.
+	refusesAll bool
+}
+
+// Next returns the step of the time elapsed since the stop began, with the number of
+// requests in flight and that of open connections.
+func (d *Drain) Next(elapsed time.Duration, inFlight, open int) Step {
+	limit := time.Duration(stopShare * float64(d.Grace))
+	// Open connections count only once the node has refused everything for a whole
+	// step: until then they are closed as soon as they have no request.
+	closed := d.refusesAll && open == 0
+	d.refusesAll = d.refusesAll || elapsed >= limit || (elapsed >= UnreadyNotice && inFlight == 0)
+	return Step{
+		Announced:      elapsed >= UnreadyNotice-announceLead,
+		RefusesPeers:   elapsed >= UnreadyNotice || d.refusesAll,
+		RefusesClients: elapsed >= time.Duration(acceptShare*float64(d.Grace)) || d.refusesAll,
+		RefusesAll:     d.refusesAll,
+		Exit:           closed || elapsed >= limit,
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -72,18 +72,23 @@
 	random *rand.Rand
 	store  *store.Store
 	seed   uint64
-	nodes  []*node
-	client http.Transport
+	grace  time.Duration
+	// maxWork bounds the time for which a request runs.
+	maxWork time.Duration
+	nodes   []*node
+	client  http.Transport
 
 	mu   sync.Mutex
 	runs map[string]int
 	// meteredRuns holds the times of the runs of the workspace with a quota.
 	meteredRuns []time.Time
 	outcomes    []outcome
-	problems    []string
-	announced   *announcements
-	mortal      *mortality
-	sent        atomic.Int64
+	// unanswered are the requests that were sent and got no complete response.
+	unanswered []string
+	problems   []string
+	announced  *announcements
+	mortal     *mortality
+	sent       atomic.Int64
 }
 
 // node is one node process with its instance and the proxies between it and the
@@ -151,9 +156,15 @@
 const maxMeteredRuns = int((meteredRate*5+meteredBurst)*(1+quotaOverage) + quotaSlack)
 
 func start(t *testing.T, seed uint64, nodes int) *soak {
+	t.Helper()
+	return startWithGrace(t, seed, nodes, 2*time.Second)
+}
+
+// startWithGrace starts nodes with a time between SIGTERM and SIGKILL in whole seconds.
+func startWithGrace(t *testing.T, seed uint64, nodes int, grace time.Duration) *soak {
 	t.Helper()
 	s := &soak{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), store: store.New(), runs: make(map[string]int), announced: newAnnouncements(), mortal: &mortality{},
+		t: t, seed: seed, grace: grace, maxWork: 20 * time.Millisecond, random: rand.New(rand.NewPCG(seed, 1)), store: store.New(), runs: make(map[string]int), announced: newAnnouncements(), mortal: &mortality{},
 		client: http.Transport{MaxIdleConnsPerHost: 50},
 	}
 	storeServer := httptest.NewServer(s.store)
@@ -194,9 +205,9 @@
 	n.serverProxy = s.proxy(fmt.Sprint(ip, ":", serverPort), server.Addr().String())
 	n.storeProxy = s.proxy(fmt.Sprint(ip, ":43009"), storeAddress)
 	text := fmt.Sprintf("node: n%d\nzone: %s\nservice: desk\nlisten:\n  entry: %s:%d\n  peer: %s:43002\n  control: %s:43003\n"+
-		"  ready: %s:43004\n  metrics: %s:43005\nupstream: %s:%d\nstore: %s:43009\nbounds: [GracePeriodS=2, RetryBudgetRatio=0.2, BudgetSlack=50, "+
+		"  ready: %s:43004\n  metrics: %s:43005\nupstream: %s:%d\nstore: %s:43009\nbounds: [GracePeriodS=%d, RetryBudgetRatio=0.2, BudgetSlack=50, "+
 		"QuotaWindowS=5, QuotaOverage=0.25, QuotaSlack=20]\n",
-		i, n.zone, ip, entryPort, ip, ip, ip, ip, ip, serverPort, ip)
+		i, n.zone, ip, entryPort, ip, ip, ip, ip, ip, serverPort, ip, int(s.grace.Seconds()))
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -319,7 +330,7 @@
 		n.runLethal(request, id)
 		return false
 	}
-	time.Sleep(time.Duration(rand.N(20)) * time.Millisecond)
+	time.Sleep(rand.N(s.maxWork))
 	body := "for " + request
 	switch {
 	case chance < 0.05: // the response is lost
@@ -345,6 +356,12 @@
 	s.problems = append(s.problems, fmt.Sprintf(format, args...))
 }
 
+func (s *soak) recordUnanswered(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered = append(s.unanswered, id)
+}
+
 // request sends one request, records the response and returns its status, 0 if
 // there was no complete response.
 func (s *soak) request(n *node, key string, lethal bool) (status int) {
@@ -370,12 +387,14 @@
 	s.announced.sent(id, n)
 	response, err := s.client.RoundTrip(request)
 	if err != nil {
+		s.recordUnanswered(id)
 		return 0
 	}
 	defer response.Body.Close()
 	s.announced.passedOn(id, response.Header)
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
+		s.recordUnanswered(id)
 		return 0
 	}
 	if response.StatusCode == http.StatusOK && (string(body) != "for "+id || response.Header.Get("Server-Signature") != "s") {
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -13,6 +13,7 @@
 // whether the caller closes them.
 type callerListener struct {
 	net.Listener
+	conns *callerConns
 	// limits returns the published limits. Zero fields leave the server's own
 	// limits in force.
 	limits func() catalog.Limits
@@ -24,7 +25,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, limits: l.limits}, nil
+	caller := &callerConn{Conn: conn, limits: l.limits}
+	l.conns.accepted(caller)
+	return caller, nil
 }
 
 // connPhase is what the node expects next on a caller's connection.
@@ -46,6 +49,8 @@
 type callerConn struct {
 	net.Conn
 	limits func() catalog.Limits
+	// use is owned by callerConns.
+	use atomic.Int32
 	// phase and headerDeadline are only used by the goroutine that serves the
 	// connection.
 	phase          connPhase
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -37,17 +37,16 @@
 	state  func() *follow.State
 	// confirmedAge is follow.Follower.ConfirmedAge.
 	confirmedAge func(now time.Time) (time.Duration, bool)
-	// leaving is set once a planned stop has begun, closed once requests of
-	// clients are refused.
-	leaving *atomic.Bool
-	closed  *atomic.Bool
-	calls   *callTracker
-	guard   *guard
-	peers   *peers
-	routes  *routes
-	gates   *gates
-	quota   *quota
-	report  *reporter
+	// leaving is set once a planned stop has begun, stopping holds its steps.
+	leaving  *atomic.Bool
+	stopping *stopSteps
+	calls    *callTracker
+	guard    *guard
+	peers    *peers
+	routes   *routes
+	gates    *gates
+	quota    *quota
+	report   *reporter
 	// quarantines holds the requests that crash instances.
 	quarantines *quarantines
 }
@@ -150,7 +149,7 @@
 	}
 	e.setTimes(ctx, r)
 	r.call = e.cfg.nodeIP != nil && r.workspace == nil && e.cfg.nodeIP.Equal(ctx.RemoteIP())
-	if !r.call && e.cfg.closed.Load() {
+	if !e.accepts(r) {
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: notReadyRetryAfter}
 	}
 	r.rank = state.Catalog.RankOf(r.route, r.workspace)
@@ -163,6 +162,18 @@
 	return nil
 }
 
+// accepts reports whether a node that may be stopping accepts a request. Calls of the own
+// instance are accepted as long as it runs a request that they can belong to.
+func (e *entry) accepts(r *request) bool {
+	switch {
+	case e.cfg.stopping.refusesAll.Load():
+		return false
+	case e.cfg.stopping.refusesClients.Load():
+		return r.call && e.cfg.calls.anyRunning()
+	}
+	return true
+}
+
 // setTimes sets the deadline from the caller's time budget and the route's timeout.
 func (e *entry) setTimes(ctx *fasthttp.RequestCtx, r *request) {
 	budget, ok := parseBudget(ctx.Request.Header.Peek(e.cfg.headers.Budget))
--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -39,12 +39,10 @@
 	// address is the IP:port of the own instance.
 	address string
 	state   func() *follow.State
-	// leaving is set once the planned stop is announced to other nodes, closed
-	// once all requests are refused.
-	leaving *atomic.Bool
-	closed  *atomic.Bool
-	calls   *callTracker
-	report  *reporter
+	// stopping holds the steps of a planned stop.
+	stopping *stopSteps
+	calls    *callTracker
+	report   *reporter
 	// quarantines finds the requests that crash the own instance.
 	quarantines *quarantines
 	// observeVersions is called with the versions that a peer sent.
@@ -160,7 +158,7 @@
 	if g.draining.Load() || g.instanceLeaving.Load() {
 		return refusedOutcome(reasonDraining, "")
 	}
-	if g.cfg.closed.Load() {
+	if g.cfg.stopping.refusesPeers.Load() {
 		return refusedOutcome(reasonLeaving, "")
 	}
 	if refused := g.cfg.quarantines.check(c.identity); refused != "" {
@@ -307,7 +305,7 @@
 	g.mu.Unlock()
 	chain := max(own, g.cfg.calls.chain(route).value(now))
 	return hint{
-		Own: percent(own), Chain: percent(chain), Leaving: g.cfg.leaving.Load(), versions: versionsOf(g.cfg.state()),
+		Own: percent(own), Chain: percent(chain), Leaving: g.cfg.stopping.announced.Load(), versions: versionsOf(g.cfg.state()),
 	}
 }
 
@@ -375,6 +373,9 @@
 	if o.response == nil {
 		setMarks(&ctx.Response.Header, g.cfg.quarantines.marksOf(func() *quarantine.Request { return c.identity }))
 	}
+	if g.cfg.stopping.refusesPeers.Load() {
+		ctx.SetConnectionClose() // the other node would meet the end of the process on it
+	}
 	if o.response == nil || o.run == runNo {
 		g.cfg.report.guardDecision(ctx, c, &o, time.Since(arrived))
 	}
--- a/mesh/guard_test.go
+++ b/mesh/guard_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,7 +17,7 @@
 	bubble.Test(t, func(t *testing.T) {
 		g := newGuard(guardConfig{
 			address: "127.0.0.1:1", state: func() *follow.State { return &follow.State{} },
-			leaving: new(atomic.Bool), closed: new(atomic.Bool), calls: newCallTracker(),
+			stopping: &stopSteps{}, calls: newCallTracker(),
 		})
 		g.queue.SetSlots(1)
 		const budget = 300 * time.Millisecond
--- a/mesh/lineage.go
+++ b/mesh/lineage.go
@@ -90,6 +90,13 @@
 	delete(t.running, p)
 }
 
+// anyRunning reports whether the own instance runs a request.
+func (t *callTracker) anyRunning() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.running) > 0
+}
+
 // parentOf returns the running request whose deadline is nearest to that of the
 // call, or nil if none is within deadlineTolerance.
 func (t *callTracker) parentOf(deadline time.Time) *parent {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/toucancove/toucancove/core/catalog"
+	"github.com/toucancove/toucancove/core/drain"
 	"github.com/toucancove/toucancove/core/member"
 	"github.com/toucancove/toucancove/core/usage"
 	"github.com/toucancove/toucancove/follow"
@@ -83,13 +84,12 @@
 	entry    *entry
 	// quarantines holds the requests that crash instances.
 	quarantines *quarantines
-	// The steps of a planned stop: leaving is set when it begins, announced once
-	// the guard reports it to other nodes, guardClosed once the guard refuses
-	// their requests, and entryClosed once the entry refuses requests of clients.
-	leaving, announced, guardClosed, entryClosed atomic.Bool
-	// active is the number of requests in flight.
-	active atomic.Int64
-	group  sync.WaitGroup
+	// leaving is set when a planned stop begins, stopping holds its steps.
+	leaving  atomic.Bool
+	stopping stopSteps
+	// conns are the connections of the entry and the guard.
+	conns *callerConns
+	group sync.WaitGroup
 }
 
 // New returns a node that is not started.
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "parse address of control listener")
 	}
-	n := &Node{cfg: cfg, log: cfg.Log, metrics: telemetry.NewMetrics()}
+	n := &Node{cfg: cfg, log: cfg.Log, metrics: telemetry.NewMetrics(), conns: newCallerConns()}
 	controlAddressOf := func(instance catalog.Instance) string {
 		if instance.Address == cfg.Upstream {
 			return ""
@@ -134,14 +134,14 @@
 	}).report
 	n.peers = newPeers(cfg.Headers, peerAddress.Port(), observeVersions, n.quarantines)
 	n.guard = newGuard(guardConfig{
-		headers: cfg.Headers, address: cfg.Upstream, state: n.follower.State, leaving: &n.announced, closed: &n.guardClosed,
+		headers: cfg.Headers, address: cfg.Upstream, state: n.follower.State, stopping: &n.stopping,
 		calls: calls, report: report, quarantines: n.quarantines, observeVersions: observeVersions,
 	})
 	n.guard.setRetryLimits(cfg.Retries)
 	n.entry = &entry{cfg: entryConfig{
 		headers: cfg.Headers, service: cfg.Service, nodeIP: net.IP(peerAddress.Addr().AsSlice()), state: n.follower.State,
 		confirmedAge: n.follower.ConfirmedAge,
-		leaving:      &n.leaving, closed: &n.entryClosed, calls: calls, guard: n.guard, peers: n.peers, routes: n.routes, gates: n.gates,
+		leaving:      &n.leaving, stopping: &n.stopping, calls: calls, guard: n.guard, peers: n.peers, routes: n.routes, gates: n.gates,
 		quota: n.quota, report: report, quarantines: n.quarantines,
 	}}
 	return n, nil
@@ -171,28 +171,26 @@
 }
 
 const (
-	// unreadyNotice is the time for which the node still accepts requests after
-	// it reports that it is not ready. Clients check once a second and need two
-	// failed checks to stop sending.
-	unreadyNotice = 2500 * time.Millisecond
-	// announceLead is how long before the end of unreadyNotice the guard reports
-	// the stop to the entries of other nodes. They receive it with the next
-	// response, and the instance remains useful until then.
-	announceLead = 400 * time.Millisecond
-	// acceptShare is the share of the grace period for which a stopping node
-	// accepts requests of clients. Those must have time to complete.
-	acceptShare = 0.5
-	// stopShare is the share of the grace period after which the node exits even
-	// if requests are still running.
-	stopShare = 0.93
-	// drainPollInterval is the time between checks for running requests during a
-	// stop.
+	// drainPollInterval is the time between two steps of a planned stop.
 	drainPollInterval = 20 * time.Millisecond
 	// maintainInterval is the time between checks for expired idle connections and
 	// for a suspension of the machine.
 	maintainInterval = time.Second
 )
 
+// stopSteps are the steps of a planned stop, as the goroutines that serve requests see
+// them.
+type stopSteps struct {
+	announced, refusesPeers, refusesClients, refusesAll atomic.Bool
+}
+
+func (s *stopSteps) set(step drain.Step) {
+	s.announced.Store(step.Announced)
+	s.refusesPeers.Store(step.RefusesPeers)
+	s.refusesClients.Store(step.RefusesClients)
+	s.refusesAll.Store(step.RefusesAll)
+}
+
 // Run serves until ctx is done, then performs a planned stop.
 func (n *Node) Run(ctx context.Context) error {
 	servers, err := n.listen()
@@ -215,7 +213,7 @@
 	n.log.Info("node started", "service", n.cfg.Service, "zone", n.cfg.Zone, "entry", n.cfg.Listen.Entry, "upstream", n.cfg.Upstream)
 	select {
 	case <-ctx.Done():
-		n.drain()
+		n.drain(servers)
 	case err = <-failed:
 	}
 	for _, s := range servers {
@@ -224,36 +222,45 @@
 	cancel()
 	n.follower.Wait()
 	n.group.Wait()
-	n.log.Info("node stopped", "running", n.active.Load())
+	n.log.Info("node stopped", "running", n.conns.inFlight.Load())
 	return err
 }
 
-// drain performs a planned stop: it returns once running requests have completed.
-func (n *Node) drain() {
+// drain performs a planned stop. It returns once no caller waits for a response, and no
+// connection is left on which a request could arrive.
+func (n *Node) drain(servers []server) {
 	n.leaving.Store(true)
 	started := time.Now()
-	n.log.Info("node stopping", "running", n.active.Load())
-	for _, step := range []struct {
-		after time.Duration
-		flag  *atomic.Bool
-	}{
-		{unreadyNotice - announceLead, &n.announced},
-		{unreadyNotice, &n.guardClosed},
-		{time.Duration(acceptShare * float64(n.cfg.Grace)), &n.entryClosed},
-	} {
-		timer := time.AfterFunc(step.after, func() { step.flag.Store(true) })
-		defer timer.Stop()
-	}
-	limit := time.Duration(stopShare * float64(n.cfg.Grace))
+	n.log.Info("node stopping", "running", n.conns.inFlight.Load())
+	plan := drain.Drain{Grace: n.cfg.Grace}
+	closed := false
 	for {
-		elapsed := time.Since(started)
-		if elapsed >= limit || (elapsed >= min(unreadyNotice, limit) && n.active.Load() == 0) {
+		step := plan.Next(time.Since(started), int(n.conns.inFlight.Load()), n.conns.count())
+		n.stopping.set(step)
+		if step.RefusesAll && !closed {
+			closed = true
+			n.log.Info("node refuses all requests", "running", n.conns.inFlight.Load(), "connections", n.conns.count())
+			closeCallerListeners(servers)
+		}
+		if step.RefusesAll {
+			n.conns.closeUnused()
+		}
+		if step.Exit {
 			return
 		}
 		time.Sleep(drainPollInterval)
 	}
 }
 
+// closeCallerListeners closes the listeners of the entry and the guard.
+func closeCallerListeners(servers []server) {
+	for _, s := range servers {
+		if s.name == entryServer || s.name == peerServer {
+			_ = s.listener.Close() // no request has been read from what it still holds
+		}
+	}
+}
+
 // maintain closes expired idle connections and logs suspensions of the machine,
 // until ctx ends.
 func (n *Node) maintain(ctx context.Context) {
@@ -273,12 +280,18 @@
 			n.quarantines.expire(now)
 			// If the clocks can't be read, the error was logged at the start.
 			if d, err := suspension.sinceLast(); err == nil && d > 0 {
-				n.log.Info("machine was suspended", "for", d.Round(time.Millisecond).String(), "running", n.active.Load())
+				n.log.Info("machine was suspended", "for", d.Round(time.Millisecond).String(), "running", n.conns.inFlight.Load())
 			}
 		}
 	}
 }
 
+// Names of the servers whose listeners are closed first in a planned stop.
+const (
+	entryServer = "entry"
+	peerServer  = "peer"
+)
+
 // server is a listener and the function that serves it.
 type server struct {
 	name     string
@@ -319,19 +332,16 @@
 // noLimits is used between nodes, for which no limits are published.
 func noLimits() catalog.Limits { return catalog.Limits{} }
 
-// countActive counts the requests in flight.
-func (n *Node) countActive(next fasthttp.RequestHandler) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		n.active.Add(1)
-		defer n.active.Add(-1)
-		next(ctx)
-	}
+// newCallerServer returns the server of a listener whose connections are tracked.
+func (n *Node) newCallerServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	server := newDataServer(handler, defaultLimits(), &serverLog{n.log})
+	server.ConnState = n.conns.stateChanged
+	return server
 }
 
 func (n *Node) listen() ([]server, error) {
 	log := &serverLog{n.log}
-	entryServer := newDataServer(n.countActive(n.entry.handle), defaultLimits(), log)
-	guardServer := newDataServer(n.countActive(n.guard.handle), defaultLimits(), log)
+	entry, guard := n.newCallerServer(n.entry.handle), n.newCallerServer(n.guard.handle)
 	ready := newDataServer(n.handleReady, defaultLimits(), log)
 	metricsServer := newDataServer(n.handleMetrics, defaultLimits(), log)
 	control := newControlServer(&controlService{follower: n.follower, quota: n.quota, quarantines: n.quarantines, leaving: &n.leaving})
@@ -339,8 +349,10 @@
 		name, address string
 		serve         func(net.Listener) error
 	}{
-		{"entry", n.cfg.Listen.Entry, func(l net.Listener) error { return entryServer.Serve(callerListener{l, n.publishedLimits}) }},
-		{"peer", n.cfg.Listen.Peer, func(l net.Listener) error { return guardServer.Serve(callerListener{l, noLimits}) }},
+		{entryServer, n.cfg.Listen.Entry, func(l net.Listener) error {
+			return entry.Serve(callerListener{l, n.conns, n.publishedLimits})
+		}},
+		{peerServer, n.cfg.Listen.Peer, func(l net.Listener) error { return guard.Serve(callerListener{l, n.conns, noLimits}) }},
 		{"ready", n.cfg.Listen.Ready, ready.Serve},
 		{"metrics", n.cfg.Listen.Metrics, metricsServer.Serve},
 		{"control", n.cfg.Listen.Control, control.Serve},
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -398,7 +398,7 @@
 	go func() {
 		running <- r.send(0, "/safe/x", "slow", func(q *http.Request) { q.Header.Set("X-Slow", "1") })
 	}()
-	r.eventually("the slow request runs", func() bool { return r.nodes[0].active.Load() > 0 })
+	r.eventually("the slow request runs", func() bool { return r.nodes[0].conns.inFlight.Load() > 0 })
 	r.stops[0]()
 	r.waitReady(0, http.StatusServiceUnavailable)
 	for i := range 20 {
--- /dev/null
+++ b/mesh/stop_test.go
@@ -0,0 +1,127 @@
+package mesh
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// dialEntry opens a connection to the entry of a node.
+func (r *rig) dialEntry(node int) net.Conn {
+	r.t.Helper()
+	conn, err := net.Dial("tcp", r.address(node, entryPort))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// writeRequest writes a request that may run once.
+func writeRequest(conn net.Conn, id string) error {
+	_, err := fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 9000\r\n%s: big-key\r\nContent-Length: 4\r\n\r\nbody",
+		testHeaders.RequestID, id, testHeaders.Budget, testHeaders.Key)
+	return err
+}
+
+// A client goes on using its connection after the node has decided to exit. What arrives
+// then must not be passed on: it would run without an answer.
+func TestRequestOnKeptConnectionIsNotPassedOnAfterTheStop(t *testing.T) {
+	r, servers := startRig(t, ok, ok)
+	var conns []net.Conn
+	for range 2 {
+		conn := r.dialEntry(0)
+		conns = append(conns, conn)
+		if err := writeRequest(conn, "before"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("before the stop: %v, %v", response, err)
+		}
+	}
+	r.stops[0]()
+	<-r.ended[0]
+	before := servers[0].arrived.Load() + servers[1].arrived.Load()
+	for _, conn := range conns {
+		_ = writeRequest(conn, "after") // may fail: the connection is closed
+		if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			t.Errorf("status %d after the node has stopped, want a closed connection", response.StatusCode)
+		}
+	}
+	if got := servers[0].arrived.Load() + servers[1].arrived.Load() - before; got != 0 {
+		t.Errorf("%d requests were passed on after the node has stopped", got)
+	}
+}
+
+// The response to a running request is ready long before the client has read it. The
+// node must not exit while it is being written.
+func TestPlannedStopWaitsForResponsesThatAreBeingWritten(t *testing.T) {
+	const size = 24 << 20
+	large := func(conn net.Conn, q *http.Request) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Signature: s\r\nContent-Length: %d\r\n\r\n%s",
+			q.Header.Get(testHeaders.RequestID), size, strings.Repeat("x", size))
+		return err == nil
+	}
+	r, _ := startRigWith(t, 6*time.Second, large)
+	r.store.publish(func(s *memoryStore) {
+		d := testDefinition()
+		d.Version = 2
+		for i := range d.Routes {
+			d.Routes[i].Timeout = 9 * time.Second
+		}
+		s.definition = d
+	})
+	r.eventually("the timeout is in force", func() bool { return r.nodes[0].follower.State().Version() == 2 })
+	conn := r.dialEntry(0)
+	if err := writeRequest(conn, "large"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.stops[0]()
+	// Whatever the node takes for the end of its requests has come by then.
+	r.eventually("requests of other nodes are refused", func() bool { return r.nodes[0].stopping.refusesPeers.Load() })
+	time.Sleep(10 * drainPollInterval)
+	select {
+	case <-r.ended[0]:
+		t.Fatal("the node has stopped in the middle of a response")
+	default:
+	}
+	if n, err := io.Copy(io.Discard, response.Body); n != size || err != nil {
+		t.Errorf("%d of %d bytes: %v", n, size, err)
+	}
+	<-r.ended[0]
+}
+
+// A client that shares the address of the own instance can't be told from it. It must not
+// be served without an end while the node stops.
+func TestStoppingNodeRefusesCallsWhileItsInstanceRunsNothing(t *testing.T) {
+	r, servers := startRig(t, ok)
+	own := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(strings.Split(r.address(0, 0), ":")[0])}}
+	r.client.DialContext = own.DialContext
+	r.client.DisableKeepAlives = true
+	r.store.publish(func(s *memoryStore) {
+		d := testDefinition()
+		d.Version = 2
+		d.Routes[1].Public = true
+		s.definition = d
+	})
+	noKey := func(q *http.Request) { q.Header.Del(testHeaders.Key) }
+	r.eventually("the route is public", func() bool { return r.send(0, "/once/x", "public", noKey).status == http.StatusOK })
+	r.nodes[0].stopping.refusesClients.Store(true)
+	before := servers[0].arrived.Load()
+	if got := r.send(0, "/once/x", "late", noKey); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", got.status)
+	}
+	if servers[0].arrived.Load() != before {
+		t.Error("the request has run")
+	}
+}
