--- a/mesh/body.go
+++ b/mesh/body.go
@@ -16,17 +16,22 @@
 // errBodyTruncated means that a request body ended before its Content-Length.
 var errBodyTruncated = errors.New("request body is shorter than its Content-Length")
 
+// errBodyGone means that a streamed request body has been sent before, at least in part.
+var errBodyGone = errors.New("streamed request body was sent before")
+
 // errCallerGone is the cancellation cause of contexts whose caller closed its
 // connection.
 var errCallerGone = errors.New("caller closed its connection")
 
-// body is the body of a request, either buffered or streamed.
+// body is the body of a request, either buffered or streamed. A request is sent with its
+// whole body or not at all: connPool.exchange is the only place that attaches one.
 type body struct {
 	buffered []byte
 	stream   io.Reader
 	// length is the length of the stream in bytes, -1 if it is chunked.
 	length int
-	sent   bool
+	// sent is set once a connection has been found for the stream.
+	sent bool
 }
 
 // readBody buffers a body of up to maxBufferedBody and leaves a larger one as a
@@ -58,14 +63,19 @@
 // sent only once.
 func (b *body) replayable() bool { return b.stream == nil || !b.sent }
 
-// attach sets the body of an outgoing request.
-func (b *body) attach(request *fasthttp.Request) {
+// attach sets the body of an outgoing request. It fails with errBodyGone if the body can't
+// be sent from its start.
+func (b *body) attach(request *fasthttp.Request) error {
 	if b.stream == nil {
 		request.SetBodyRaw(b.buffered)
-		return
+		return nil
+	}
+	if b.sent {
+		return errBodyGone
 	}
 	b.sent = true
 	request.SetBodyStream(b.stream, b.length)
+	return nil
 }
 
 // watchCaller returns a context that is cancelled when the caller closes its
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -311,7 +311,6 @@
 func (e *entry) attempt(ctx context.Context, r *request, target pick) outcome {
 	r.tried = append(r.tried, target.instance.ID)
 	started := time.Now()
-	r.body.attach(r.out)
 	r.out.Header.Set(e.cfg.headers.Instance, string(target.instance.ID))
 	o := e.send(ctx, r, target)
 	now := time.Now()
@@ -338,7 +337,7 @@
 	info := requestInfo{Rank: r.rank, Call: r.call}
 	if target.own {
 		return e.cfg.guard.run(ctx, guardRequest{
-			request: r.out, info: info, route: r.route.Name, atMostOnce: !r.route.Kind.Repeatable(), deadline: r.deadline,
+			request: r.out, body: r.body, info: info, route: r.route.Name, atMostOnce: !r.route.Kind.Repeatable(), deadline: r.deadline,
 			identity: e.identity(r),
 		})
 	}
--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -94,6 +94,7 @@
 // route is idempotent.
 type guardRequest struct {
 	request    *fasthttp.Request
+	body       *body
 	info       requestInfo
 	route      string
 	atMostOnce bool
@@ -290,7 +291,7 @@
 	if refused != "" {
 		return refusedOutcome(refused, "")
 	}
-	received, err := g.pool.exchange(runCtx, c.request, exchangeOptions{deadline: c.deadline, atMostOnce: c.atMostOnce})
+	received, err := g.pool.exchange(runCtx, c.request, exchangeOptions{body: c.body, deadline: c.deadline, atMostOnce: c.atMostOnce})
 	if err == nil {
 		g.observeAnnouncements(sent, received)
 	}
@@ -341,7 +342,7 @@
 		return
 	}
 	c.identity = identify(&request.Header, g.cfg.headers, body)
-	body.attach(request)
+	c.body = body
 	requestCtx, end := watchCaller(ctx, body)
 	o := g.run(requestCtx, c)
 	end()
--- a/mesh/guardresend.go
+++ b/mesh/guardresend.go
@@ -27,7 +27,7 @@
 	g.mu.Unlock()
 	o := g.send(ctx, c)
 	for range maxResends {
-		if o.reason != reasonRejected || c.request.IsBodyStream() || context.Cause(ctx) != nil || !g.takeResend() {
+		if o.reason != reasonRejected || !c.body.replayable() || context.Cause(ctx) != nil || !g.takeResend() {
 			break
 		}
 		o.release()
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -134,6 +134,8 @@
 
 // exchangeOptions control how one request is sent.
 type exchangeOptions struct {
+	// body is the body of the request.
+	body     *body
 	deadline time.Time
 	// atMostOnce marks a request that may run only once.
 	atMostOnce bool
@@ -272,6 +274,9 @@
 	if err := conn.SetDeadline(o.deadline); err != nil {
 		return nil, &exchangeError{stageConnect, err}
 	}
+	if err := o.body.attach(req); err != nil {
+		return nil, &exchangeError{stageConnect, err}
+	}
 	if err := req.Write(conn.writer); err != nil {
 		return nil, &exchangeError{stageWrite, err}
 	}
--- a/mesh/outcome.go
+++ b/mesh/outcome.go
@@ -34,6 +34,7 @@
 	reasonRejected           reason = "instance-rejected"
 	reasonMisdirected        reason = "other-instance"
 	reasonBadBody            reason = "bad-body"
+	reasonBodyGone           reason = "body-gone"
 	reasonHeaderTooLarge     reason = "header-too-large"
 	// reasonQuarantined also ends runs of requests that are put in quarantine
 	// meanwhile.
@@ -108,6 +109,8 @@
 		r = reasonQuarantined
 	case context.Cause(ctx) != nil:
 		r = reasonCallerGone
+	case errors.Is(err, errBodyGone):
+		r = reasonBodyGone
 	case notRun:
 		r = reasonConnectFailed
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
@@ -147,7 +150,7 @@
 		return routing.TimedOut
 	case reasonResponseLost, reasonInternal:
 		return routing.Lost
-	case reasonCallerGone, reasonQuarantined, reasonSuspect:
+	case reasonCallerGone, reasonQuarantined, reasonSuspect, reasonBodyGone:
 		return routing.Abandoned
 	}
 	if o.response != nil && o.response.raw.StatusCode() >= fasthttp.StatusInternalServerError {
