--- a/mesh/guard.go
+++ b/mesh/guard.go
@@ -320,6 +320,7 @@
 	budget, hasBudget := parseBudget(ctx.Request.Header.Peek(g.cfg.headers.Budget))
 	if !ok || !hasBudget {
 		ctx.Error("not a request of a node", fasthttp.StatusBadRequest)
+		ctx.Response.Header.Set(headerRefused, string(reasonUnreadable))
 		return
 	}
 	if v, ok := info.withEra(ctx.Request.Header.Peek(headerEra)); ok {
@@ -365,6 +366,9 @@
 		ctx.SetStatusCode(status)
 		ctx.Response.Header.Set(header, string(o.reason))
 	}
+	if id := ctx.Request.Header.Peek(g.cfg.headers.RequestID); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(g.cfg.headers.RequestID, id)
+	}
 	if o.hasHint {
 		ctx.Response.Header.SetBytesV(headerHint, o.hint.append(nil))
 		if era := o.hint.eraText(); era != "" {
--- a/mesh/latecopy_test.go
+++ b/mesh/latecopy_test.go
@@ -4,15 +4,21 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/toucancove/toucancove/core/catalog"
 )
 
 // copying is an instance that rejects the first sending of each request under one path,
 // and writes a second copy of the rejection just before its next answer on the connection.
 type copying struct {
-	// rejection is the text of a rejection; ID stands for the id of the request.
-	rejection func(id string) string
+	// rejection returns the text of a rejection, late that of its second copy.
+	rejection, late func(id string) string
 
 	mu     sync.Mutex
 	copies map[net.Conn]string
@@ -20,8 +26,12 @@
 	rejected, ran map[string]int
 }
 
-func newCopying(rejection func(id string) string) *copying {
-	return &copying{rejection: rejection, copies: make(map[net.Conn]string), rejected: make(map[string]int), ran: make(map[string]int)}
+func newCopying(late func(id string) string) *copying {
+	return &copying{rejection: rejectionWithID, late: late, copies: make(map[net.Conn]string), rejected: make(map[string]int), ran: make(map[string]int)}
+}
+
+func rejectionWithID(id string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Full\r\nT-Id: %s\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 }
 
 const copyingPath = "/once/copied"
@@ -34,7 +44,7 @@
 	reject := r.URL.Path == copyingPath && c.rejected[id] == 0
 	if reject {
 		c.rejected[id]++
-		c.copies[conn] = c.rejection(id)
+		c.copies[conn] = c.late(id)
 	} else {
 		c.ran[id]++
 	}
@@ -78,9 +88,7 @@
 func TestLateCopyOfARejectionIsNotTakenForTheNextSending(t *testing.T) {
 	for name, entry := range map[string]int{"own instance": 0, "instance of another node": 1} {
 		t.Run(name, func(t *testing.T) {
-			c := newCopying(func(id string) string {
-				return fmt.Sprintf("HTTP/1.1 503 Full\r\nT-Id: %s\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
-			})
+			c := newCopying(rejectionWithID)
 			r := startCopyingRig(t, c, entry)
 			for i := range 3 {
 				id := fmt.Sprint("id-", i)
@@ -93,3 +101,111 @@
 		})
 	}
 }
+
+// A rejection without an id could be that of any request. On a connection that was used
+// before, it must not be taken for the answer to the next request.
+func TestLateCopyWithoutIDIsNotTakenForTheAnswerToAnotherRequest(t *testing.T) {
+	for name, late := range map[string]string{
+		"503":             "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\n",
+		"429, empty id":   "HTTP/1.1 429 Too Many\r\nT-Id: \r\nT-Not-Run: 1\r\n",
+		"400":             "HTTP/1.1 400 Bad\r\nT-Not-Run: 1\r\n",
+		"421":             "HTTP/1.1 421 Misdirected\r\n",
+		"failure":         "HTTP/1.1 500 Error\r\n",
+		"a second answer": "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nX-Cut: ",
+	} {
+		for leg, entry := range map[string]int{"own instance": 0, "instance of another node": 1} {
+			t.Run(name+", "+leg, func(t *testing.T) {
+				c := newCopying(func(string) string {
+					if name == "a second answer" {
+						return late // it runs into the head of the next answer
+					}
+					return late + "Content-Length: 0\r\n\r\n"
+				})
+				r := startCopyingRig(t, c, entry)
+				for i := range 3 {
+					id := fmt.Sprint("rejected-", i)
+					c.check(t, id, r.send(entry, copyingPath, id, nil))
+					// At once, so that all idle connections are used.
+					var clients sync.WaitGroup
+					for j := range 4 {
+						clients.Go(func() {
+							id := fmt.Sprintf("id-%d-%d", i, j)
+							got := r.send(entry, "/once/x", id, nil)
+							c.check(t, id, got)
+							if name == "a second answer" && got.status == http.StatusBadGateway {
+								return // the two can't be told apart
+							}
+							if got.status != http.StatusOK || got.body != "for "+id {
+								t.Errorf("request %s: %+v, want its own answer", id, got)
+							}
+						})
+					}
+					clients.Wait()
+				}
+			})
+		}
+	}
+}
+
+// An instance that did not read a request can't echo its id. Its rejections are true, and
+// other instances must still be tried, also on kept connections.
+func TestRejectionsWithoutIDAreBelievedAfterTheFirst(t *testing.T) {
+	rejecting := func(conn net.Conn, q *http.Request) bool {
+		if q.URL.Path == "/once/x" {
+			_, err := fmt.Fprint(conn, "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		}
+		return ok(conn, q)
+	}
+	r, _ := startRig(t, rejecting, ok)
+	for i := range 40 { // both nodes keep connections to the first instance
+		r.send(i%2, "/safe/x", fmt.Sprint("before-", i), nil)
+	}
+	unknown := 0
+	for i := range 40 {
+		switch got := r.send(i%2, "/once/x", fmt.Sprint("id-", i), nil); got.status {
+		case http.StatusOK:
+		case http.StatusBadGateway:
+			unknown++
+		default:
+			t.Errorf("request %d: %+v", i, got)
+		}
+	}
+	if unknown > 1 {
+		t.Errorf("%d requests have an unknown outcome, want at most the first that was rejected without an id", unknown)
+	}
+}
+
+// The server library of a guard answers a request that it can't read. The entry must take
+// its answer neither for one of the instance nor for a promise, unless the guard says so.
+func TestAnswerThatIsNotFromAGuardIsNoAnswerOfTheInstance(t *testing.T) {
+	r, _ := startRig(t, ok)
+	for name, tt := range map[string]struct {
+		answer string
+		run    run
+	}{
+		"library, before this version": {"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", runUnknown},
+		"library":                      {"HTTP/1.1 408 Request Timeout\r\nTc-Refused: unreadable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", runNo},
+		"refusal of another request":   {"HTTP/1.1 503 Unavailable\r\nT-Id: other\r\nTc-Refused: instance-overloaded\r\nContent-Length: 0\r\n\r\n", runUnknown},
+		"two answers":                  {"HTTP/1.1 503 Unavailable\r\nTc-Refused: instance-overloaded\r\nX: HTTP/1.1 200 OK\r\nT-Id: a\r\nTc-Hint: x\r\nContent-Length: 0\r\n\r\n", runUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := startUpstream(t, "127.0.0.1:0", func(conn net.Conn, _ *http.Request) bool {
+				_, _ = fmt.Fprint(conn, tt.answer)
+				return false
+			})
+			out := fasthttp.AcquireRequest()
+			defer fasthttp.ReleaseRequest(out)
+			out.SetRequestURI("/once/x")
+			out.Header.SetHost("h")
+			out.Header.Set(testHeaders.RequestID, "a")
+			state := r.nodes[0].follower.State()
+			peers := newPeers(testHeaders, netip.MustParseAddrPort(guard.address).Port(), func(string, versions) {}, r.nodes[0].quarantines)
+			o := peers.send(t.Context(), &request{out: out, body: &body{}, route: state.Catalog.Route("once"), deadline: time.Now().Add(time.Second)},
+				pick{instance: catalog.Instance{ID: "i", Address: guard.address}})
+			if o.run != tt.run || o.response != nil {
+				t.Errorf("run %v, response %v, reason %q %s; want run %v and no response", o.run, o.response != nil, o.reason, o.detail, tt.run)
+			}
+		})
+	}
+}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -75,19 +75,19 @@
 // notRun reports whether the request was certainly not received.
 func (e *exchangeError) notRun() bool { return e.stage == stageConnect }
 
-// errUnsolicited means that the responses on a connection belong to other requests.
-var errUnsolicited = errors.New("response belongs to another request")
-
 // connPool is a pool of connections to one address. It never retries a request. It
 // is safe for concurrent use.
 type connPool struct {
 	address string
-	// requestID is the header that a response must echo; with an empty name no
-	// response is checked.
-	requestID string
+	// requestID is the header that a response must echo. idOptional is set for guards,
+	// which write one response to each request in order; older ones omit the id.
+	requestID  string
+	idOptional bool
 
 	mu   sync.Mutex
 	idle []*pooledConn
+	// untaggedAt is when the last response without an id came.
+	untaggedAt time.Time
 	// epoch increases when all idle connections are closed.
 	epoch int
 }
@@ -105,6 +105,8 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// requests is the number of requests that were sent on the connection.
+	requests int
 	// idleAt is the time at which the connection became idle.
 	idleAt time.Time
 	// idleTimeout is how long the connection may stay idle.
@@ -161,7 +163,7 @@
 	if err := context.Cause(ctx); err != nil {
 		return nil, &exchangeError{stageConnect, err}
 	}
-	conn, err := p.acquire(ctx, o)
+	conn, err := p.acquire(ctx, req.Header.Peek(p.requestID), o)
 	if err != nil {
 		return nil, &exchangeError{stageConnect, err}
 	}
@@ -180,8 +182,11 @@
 
 // acquire returns an idle connection that is open and has nothing to read, or a new
 // one.
-func (p *connPool) acquire(ctx context.Context, o exchangeOptions) (*pooledConn, error) {
+func (p *connPool) acquire(ctx context.Context, id []byte, o exchangeOptions) (*pooledConn, error) {
 	now := time.Now()
+	if p.needsNewConn(now, id) {
+		return p.dial(ctx, o.deadline)
+	}
 	for {
 		conn := p.popIdle(now, o)
 		if conn == nil {
@@ -293,6 +298,7 @@
 		return nil, &exchangeError{stageConnect, err}
 	}
 	o.sendings.add(conn)
+	conn.requests++
 	if err := req.Write(conn.writer); err != nil {
 		return nil, &exchangeError{stageWrite, err}
 	}
@@ -300,7 +306,7 @@
 		return nil, &exchangeError{stageWrite, err}
 	}
 	response := fasthttp.AcquireResponse()
-	received, err := p.read(conn, req, response, stop)
+	received, err := p.read(conn, req, response, o, stop)
 	if err != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, &exchangeError{stageRead, err}
@@ -308,50 +314,6 @@
 	return received, nil
 }
 
-// read reads the response to the request and skips responses to other requests.
-func (p *connPool) read(conn *pooledConn, req *fasthttp.Request, response *fasthttp.Response, stop func() bool) (*receivedResponse, error) {
-	id := req.Header.Peek(p.requestID)
-	for unsolicited := 0; ; unsolicited++ {
-		response.Reset()
-		response.StreamBody = true
-		response.SkipBody = req.Header.IsHead()
-		if err := response.ReadLimitBody(conn.reader, 0); err != nil {
-			return nil, err
-		}
-		received, complete, err := p.readBody(conn, response)
-		if err != nil {
-			return nil, err
-		}
-		if p.matches(response, id) {
-			switch {
-			case complete:
-				p.recycle(conn, response, stop, unsolicited == 0)
-			case !stop():
-				// From here on the reader of the stream ends it, not ctx.
-				return nil, errCallerGone
-			}
-			return received, nil
-		}
-		if !complete || unsolicited == maxUnsolicited {
-			return nil, errUnsolicited
-		}
-	}
-}
-
-// matches reports whether a response is that to the request with the id. An error
-// response may lack the id, as one from an instance that did not read the request;
-// a success must echo it.
-func (p *connPool) matches(response *fasthttp.Response, id []byte) bool {
-	if len(id) == 0 {
-		return true
-	}
-	echoed := response.Header.Peek(p.requestID)
-	if len(echoed) == 0 {
-		return response.StatusCode() >= fasthttp.StatusBadRequest
-	}
-	return string(echoed) == string(id)
-}
-
 // readBody buffers a body of up to maxBufferedResponse and leaves a larger one as a
 // stream.
 func (p *connPool) readBody(conn *pooledConn, response *fasthttp.Response) (r *receivedResponse, complete bool, err error) {
@@ -378,7 +340,7 @@
 func (p *connPool) recycle(conn *pooledConn, response *fasthttp.Response, stop func() bool, reusable bool) {
 	uncancelled := stop()
 	framed := response.Header.ContentLength() != identityLength
-	if !reusable || !uncancelled || !framed || response.ConnectionClose() || conn.reader.Buffered() > 0 {
+	if !reusable || !uncancelled || !framed || p.isUntagged(time.Now()) || response.ConnectionClose() || conn.reader.Buffered() > 0 {
 		_ = conn.Close()
 		return
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -342,6 +342,7 @@
 func (n *Node) listen() ([]server, error) {
 	log := &serverLog{n.log}
 	entry, guard := n.newCallerServer(n.entry.handle), n.newCallerServer(n.guard.handle)
+	guard.ErrorHandler = handleGuardReadError
 	ready := newDataServer(n.handleReady, defaultLimits(), log)
 	metricsServer := newDataServer(n.handleMetrics, defaultLimits(), log)
 	control := newControlServer(&controlService{follower: n.follower, quota: n.quota, quarantines: n.quarantines, leaving: &n.leaving})
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -176,8 +176,8 @@
 }
 
 // rejects responds that it did not run the request.
-func rejects(conn net.Conn, _ *http.Request) bool {
-	_, err := fmt.Fprint(conn, "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+func rejects(conn net.Conn, r *http.Request) bool {
+	_, err := fmt.Fprint(conn, rejectionWithID(r.Header.Get(testHeaders.RequestID)))
 	return err == nil
 }
 
--- a/mesh/outcome.go
+++ b/mesh/outcome.go
@@ -35,6 +35,7 @@
 	reasonMisdirected        reason = "other-instance"
 	reasonBadBody            reason = "bad-body"
 	reasonBodyGone           reason = "body-gone"
+	reasonUnreadable         reason = "unreadable"
 	reasonHeaderTooLarge     reason = "header-too-large"
 	// reasonQuarantined also ends runs of requests that are put in quarantine
 	// meanwhile.
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"net"
 	"net/http"
@@ -42,7 +43,8 @@
 	defer p.mu.Unlock()
 	pool := p.pools[address]
 	if pool == nil {
-		pool = newConnPool(address, "")
+		pool = newConnPool(address, p.headers.RequestID)
+		pool.idOptional = true
 		p.pools[address] = pool
 	}
 	return pool
@@ -89,6 +91,9 @@
 		o.reached = o.reason == reasonConnectFailed
 	case len(header.Peek(headerFailed)) > 0:
 		o = failedOutcome(reason(header.Peek(headerFailed)), "guard")
+	case len(header.Peek(headerHint)) == 0:
+		// The guard sends a hint with each response of its instance.
+		o = failedOutcome(reasonInternal, fmt.Sprintf("status %d is not from a guard", received.raw.StatusCode()))
 	default:
 		o = classifyResponse(received, p.headers.NotRun)
 		o.callNotRun = len(header.Peek(headerCallNotRun)) > 0
@@ -322,6 +327,13 @@
 	}
 }
 
+// handleGuardReadError responds to a request of another node that could not be read, and
+// so was not passed on.
+func handleGuardReadError(ctx *fasthttp.RequestCtx, err error) {
+	handleReadError(ctx, err)
+	ctx.Response.Header.Set(headerRefused, string(reasonUnreadable))
+}
+
 // handleReadError responds to a request that could not be read.
 func handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	var tooLarge *fasthttp.ErrSmallBuffer
