Don't pass on a promise that the instance does not make (REFUSED)

To callers, 503, 429 and 408 promise that a request has not run. An instance states it with a header of its own; without it, such a status counts as run.

Cause: the entry delivered the instance's status as it was, also for a request that may run once. The caller would send it again.

Change: the entry answers 502 in its own name for such a request. Repeatable requests get the instance's answer as before.

Test, which failed before (the instance's 503, 429 and 408 were delivered): TestStatusThatPromisesNotRunIsNotPassedOnForARequestThatMayHaveRun.

--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -238,12 +239,17 @@
 
 // finish sends the response to the caller.
 func (e *entry) finish(ctx *fasthttp.RequestCtx, r *request, o outcome) {
-	if o.response != nil && o.run == runYes {
+	if o.response != nil && o.run == runYes && (r.route.Kind.Repeatable() || !promisesNotRun(o.response.raw.StatusCode())) {
 		e.cfg.report.answered(r, o.instance, o.response.raw.StatusCode())
 		writeResponse(ctx, o.response)
 		e.closeIfLeaving(ctx)
 		return
 	}
+	if o.response != nil && o.run == runYes {
+		// The status promises that the request has not run, but the instance does not
+		// state it.
+		o.reason, o.detail = reasonUnstated, fmt.Sprintf("status %d without the header that states it", o.response.raw.StatusCode())
+	}
 	o.release()
 	if o.reason == reasonInstanceLimited {
 		e.cfg.gates.observe(r, time.Now(), float64(o.hint.Chain)/100)
--- a/mesh/latecopy_test.go
+++ b/mesh/latecopy_test.go
@@ -209,3 +209,27 @@
 		})
 	}
 }
+
+// An instance that has run a request answers with a status that promises callers the
+// opposite, and without the header that states it. The caller would send it again.
+func TestStatusThatPromisesNotRunIsNotPassedOnForARequestThatMayHaveRun(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
+		answer := func(conn net.Conn, q *http.Request) bool {
+			_, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nT-Id: %s\r\nT-Signature: s\r\nContent-Length: 0\r\n\r\n", status, q.Header.Get(testHeaders.RequestID))
+			return err == nil
+		}
+		r, servers := startRig(t, answer, answer)
+		for node := range 2 {
+			id := fmt.Sprint("once-", node)
+			if got := r.send(node, "/once/x", id, nil); got.status != http.StatusBadGateway || got.header.Get("T-Signature") != "" {
+				t.Errorf("status %d, signature %q for a %d of the instance, want 502 of the node", got.status, got.header.Get("T-Signature"), status)
+			}
+		}
+		if n := servers[0].arrived.Load() + servers[1].arrived.Load(); n != 2 {
+			t.Errorf("%d arrivals for 2 requests that may run once", n)
+		}
+		if got := r.send(0, "/safe/x", "safe", nil); got.status != status || got.header.Get("T-Signature") != "s" {
+			t.Errorf("status %d for a repeatable request, want that of the instance, %d", got.status, status)
+		}
+	}
+}
--- a/mesh/outcome.go
+++ b/mesh/outcome.go
@@ -52,6 +52,8 @@
 	reasonTimeout         reason = "timeout"
 	reasonCallerGone      reason = "caller-gone"
 	reasonInternal        reason = "internal"
+	// reasonUnstated: the instance responded with a status that promises the opposite.
+	reasonUnstated reason = "not-run-unstated"
 )
 
 // needsDigest reports whether log lines with the reason name the digest of the request.
