Check entries of the list as a whole before they are used

What could happen here: nothing ended and the list went on with deep nesting, numbers too large and ports out of range. But entries with 0, negative, missing or 2^63-1 slots, a boot id of 2^64-1, port 0, 0.0.0.0, multicast, an IPv6 zone, names in another case, ids with line breaks or fields of another type were listed.

Cause: an entry was taken as far as it could be decoded, and each user of a field made its own assumptions about it.

Change: catalog.Instance.Validate is the one check, with one reason.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -109,7 +109,7 @@
 		}
 		return nodeAddress(instance, controlAddress.Port())
 	}
-	clients := newControlClients()
+	clients := newControlClients(cfg.Log)
 	n.follower = follow.New(follow.Config{
 		Store: cfg.Store, Peer: clients, Zone: cfg.Zone, OwnAddress: cfg.Upstream, Seeds: cfg.Seeds, FirstStart: cfg.FirstStart,
 		ControlAddress: controlAddressOf, ApplyWithin: cfg.ApplyWithin, OnChange: n.stateChanged,
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/twitchtv/twirp"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
@@ -115,6 +116,7 @@
 // safe for concurrent use.
 type controlClients struct {
 	http *http.Client
+	log  logr.Logger
 
 	mu      sync.Mutex
 	clients map[string]meshpb.Mesh
@@ -123,11 +125,11 @@
 // controlTimeout bounds one RPC to another node.
 const controlTimeout = 500 * time.Millisecond
 
-func newControlClients() *controlClients {
+func newControlClients(log logr.Logger) *controlClients {
 	dialer := sockets.Dialer(dialTimeout, tcpUserTimeout)
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: defaultIdleTimeout}
 	return &controlClients{
-		http: &http.Client{Transport: transport}, clients: make(map[string]meshpb.Mesh),
+		http: &http.Client{Transport: transport}, log: log, clients: make(map[string]meshpb.Mesh),
 	}
 }
 
@@ -158,38 +160,40 @@
 	if reply.ConfirmedAgeMs != nil {
 		snapshot.ConfirmedAt = time.Now().Add(-time.Duration(*reply.ConfirmedAgeMs) * time.Millisecond)
 	}
-	for _, c := range reply.Corrections {
-		snapshot.Corrections = append(snapshot.Corrections, correctionFrom(c))
+	for _, sent := range reply.Corrections {
+		snapshot.Corrections = append(snapshot.Corrections, catalog.Correction{
+			Write: catalog.Write{ID: member.InstanceID(sent.Id), Digest: sent.Digest}, Instance: c.instanceFrom(address, sent.Instance),
+		})
 	}
-	for _, i := range reply.Instances {
-		snapshot.Instances = append(snapshot.Instances, instanceFrom(i))
-	}
-	for _, c := range reply.Changes {
-		change := catalog.Change{ID: member.InstanceID(c.Id), Revision: catalog.Revision(c.Revision)}
-		if c.Instance != nil {
-			instance := instanceFrom(c.Instance)
-			change.Instance = &instance
+	for _, sent := range reply.Instances {
+		if instance := c.instanceFrom(address, sent); instance != nil {
+			snapshot.Instances = append(snapshot.Instances, *instance)
 		}
-		snapshot.Changes = append(snapshot.Changes, change)
+	}
+	for _, sent := range reply.Changes {
+		snapshot.Changes = append(snapshot.Changes, catalog.Change{
+			ID: member.InstanceID(sent.Id), Revision: catalog.Revision(sent.Revision), Instance: c.instanceFrom(address, sent.Instance),
+		})
 	}
 	return snapshot, nil
 }
 
-func instanceFrom(i *meshpb.Instance) catalog.Instance {
-	return catalog.Instance{
+// instanceFrom returns an instance that a node sent. It returns nil if there is none, or
+// if it is not usable: nodes of an earlier version pass on what they accepted.
+func (c *controlClients) instanceFrom(address string, i *meshpb.Instance) *catalog.Instance {
+	if i == nil {
+		return nil
+	}
+	instance := catalog.Instance{
 		ID: member.InstanceID(i.Id), Service: i.Service, Address: i.Address, Zone: member.Zone(i.Zone),
 		Slots: int(i.Slots), Boot: member.BootID(i.BootId), Draining: i.Draining,
 		Created: catalog.Revision(i.Created), Digest: i.Digest,
 	}
-}
-
-func correctionFrom(c *meshpb.Correction) catalog.Correction {
-	correction := catalog.Correction{Write: catalog.Write{ID: member.InstanceID(c.Id), Digest: c.Digest}}
-	if c.Instance != nil {
-		instance := instanceFrom(c.Instance)
-		correction.Instance = &instance
+	if err := instance.Validate(); err != nil {
+		c.log.Info("invalid entry of another node's list ignored", "peer", address, "id", i.Id, "reason", err.Error())
+		return nil
 	}
-	return correction
+	return &instance
 }
 
 func correctionMessage(c *catalog.Correction) *meshpb.Correction {
@@ -203,7 +207,7 @@
 func instanceMessage(i *catalog.Instance) *meshpb.Instance {
 	return &meshpb.Instance{
 		Id: string(i.ID), Service: i.Service, Address: i.Address, Zone: string(i.Zone),
-		Slots: uint32(max(i.Slots, 0)), BootId: uint64(i.Boot), Draining: i.Draining,
+		Slots: uint32(i.Slots), BootId: uint64(i.Boot), Draining: i.Draining,
 		Created: uint64(i.Created), Digest: i.Digest,
 	}
 }
--- a/mesh/peers_test.go
+++ b/mesh/peers_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"testing"
 
+	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/toucancove/toucancove/core/catalog"
 	"github.com/toucancove/toucancove/core/member"
+	"github.com/toucancove/toucancove/follow"
 	"github.com/toucancove/toucancove/peer/meshpb"
 )
 
@@ -49,3 +51,37 @@
 		t.Errorf("%d bytes for one change of a list of %d", size, proto.Size(whole))
 	}
 }
+
+// A node of an earlier version passes on odd entries that it accepted. They must not come
+// in by the side: with the list, with changes or with corrections.
+func TestOddEntriesOfAnotherNodeAreIgnored(t *testing.T) {
+	r, _ := startRig(t, ok)
+	sound := catalog.Instance{ID: "sound", Service: "desk", Address: "10.9.0.1:80", Zone: "z", Slots: 9}
+	odd := []catalog.Instance{sound, sound, sound, sound, sound}
+	odd[0].Slots = 0
+	odd[1].Slots = 1 << 40
+	odd[2].Address = "10.9.0.1:0"
+	odd[3].Boot = 1<<64 - 1
+	odd[4].Zone = ""
+	for i := range odd {
+		odd[i].ID = member.InstanceID(fmt.Sprint("odd-", i))
+	}
+	r.store.publish(func(s *memoryStore) { s.instances = append(append(s.instances, odd...), sound) })
+	r.eventually("the list is in force", func() bool { return r.nodes[0].follower.State().Directory.Len() == 2+len(odd) })
+	clients := newControlClients(logr.Discard())
+	address := r.address(0, controlPort)
+	whole, err := clients.Published(t.Context(), address, follow.Query{})
+	if err != nil || len(whole.Instances) != 2 {
+		t.Fatalf("%d instances, error %v; want the two sound ones", len(whole.Instances), err)
+	}
+	odd[0].Draining = true
+	r.store.change(catalog.Change{ID: odd[0].ID, Instance: &odd[0]})
+	r.eventually("the change is in force", func() bool { return r.nodes[0].follower.State().Position().Follows(whole.Position) })
+	partial, err := clients.Published(t.Context(), address, follow.Query{Version: 1, Position: whole.Position})
+	if err != nil || len(partial.Changes) != 1 || partial.Changes[0].Instance != nil {
+		t.Errorf("changes %+v, error %v; want one without an instance", partial.Changes, err)
+	}
+	if c := clients.instanceFrom("peer", instanceMessage(&odd[3])); c != nil {
+		t.Errorf("correction to %+v accepted", c)
+	}
+}
--- a/mesh/quarantinewire.go
+++ b/mesh/quarantinewire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/go-logr/logr"
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
@@ -191,6 +192,6 @@
 	if !ok {
 		return 0, ErrInvalidDigest
 	}
-	reply, err := newControlClients().client(controlAddress).LiftQuarantine(ctx, &meshpb.LiftRequest{Digest: d[:]})
+	reply, err := newControlClients(logr.Discard()).client(controlAddress).LiftQuarantine(ctx, &meshpb.LiftRequest{Digest: d[:]})
 	return int(reply.GetCrashes()), err
 }
--- a/mesh/quota_test.go
+++ b/mesh/quota_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 
+	"github.com/go-logr/logr"
+
 	"github.com/toucancove/toucancove/peer/meshpb"
 )
 
@@ -21,7 +23,7 @@
 	if err := listener.Close(); err != nil {
 		t.Fatal(err)
 	}
-	_, err = newControlClients().client(address).DrawTokens(context.Background(), &meshpb.DrawRequest{Node: "x"})
+	_, err = newControlClients(logr.Discard()).client(address).DrawTokens(context.Background(), &meshpb.DrawRequest{Node: "x"})
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("error %v, want ECONNREFUSED", err)
 	}
--- a/mesh/zone_test.go
+++ b/mesh/zone_test.go
@@ -90,7 +90,7 @@
 		address := fmt.Sprint("node-", i)
 		z.store.instances = append(z.store.instances, catalog.Instance{ID: member.InstanceID(address), Service: "desk", Address: address, Zone: "z"})
 		store := &severableStore{memoryStore: z.store}
-		clients := newControlClients()
+		clients := newControlClients(logr.Discard())
 		clients.http = &http.Client{Transport: transport}
 		f := follow.New(follow.Config{
 			Store: store, Peer: clients, Zone: "z", OwnAddress: address, FirstStart: true, ApplyWithin: applyWithin, OnChange: func(*follow.State) {},
