Soak: late copies of answers, spells of rejections, and clients that believe a promise

Instances write second copies of answers late, with the id of their request or without, and reject most requests in spells; clients send an operation that must run once again after a status that promises that it has not run, a tenth of them with long bodies. Runs are counted by request and by operation.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -75,8 +75,10 @@
 	grace  time.Duration
 	// maxWork bounds the time for which a request runs.
 	maxWork time.Duration
-	nodes   []*node
-	client  http.Transport
+	// rejections is how instances reject requests and repeat answers.
+	rejections *rejections
+	nodes      []*node
+	client     http.Transport
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -164,7 +166,7 @@
 func startWithGrace(t *testing.T, seed uint64, nodes int, grace time.Duration) *soak {
 	t.Helper()
 	s := &soak{
-		t: t, seed: seed, grace: grace, maxWork: 20 * time.Millisecond, random: rand.New(rand.NewPCG(seed, 1)), store: store.New(), runs: make(map[string]int), announced: newAnnouncements(), mortal: &mortality{},
+		t: t, seed: seed, grace: grace, maxWork: 20 * time.Millisecond, rejections: newRejections(), random: rand.New(rand.NewPCG(seed, 1)), store: store.New(), runs: make(map[string]int), announced: newAnnouncements(), mortal: &mortality{},
 		client: http.Transport{MaxIdleConnsPerHost: 50},
 	}
 	storeServer := httptest.NewServer(s.store)
@@ -289,12 +291,13 @@
 		go func() {
 			defer conn.Close()
 			reader := bufio.NewReader(conn)
+			repeating := &repeatingConn{Conn: conn}
 			for {
 				r, err := http.ReadRequest(reader)
 				if err != nil {
 					return
 				}
-				if _, err := io.Copy(io.Discard, r.Body); err != nil || !s.respond(conn, r, n) {
+				if _, err := io.Copy(io.Discard, r.Body); err != nil || !repeating.begin() || !s.respond(repeating, r, n) {
 					return
 				}
 			}
@@ -312,13 +315,14 @@
 		_, err := fmt.Fprint(conn, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	}
-	if chance < 0.03 {
+	if chance < 0.03 || s.rejections.reject() {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", request, announced)
 		return err == nil
 	}
 	tenant := r.Header.Get("Tenant")
 	s.mu.Lock()
 	s.runs[request]++
+	s.rejections.ran(request)
 	if tenant == "metered" {
 		s.meteredRuns = append(s.meteredRuns, time.Now())
 	}
@@ -374,7 +378,13 @@
 	case atMostOnce:
 		path = "/once/x"
 	}
-	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, entryPort, path), strings.NewReader("body"))
+	return s.send(n, key, path, id, atMostOnce, strings.NewReader("body"))
+}
+
+// send sends one request under an id, records the response and returns its status, 0 if
+// there was no complete response.
+func (s *soak) send(n *node, key, path, id string, atMostOnce bool, content io.Reader) (status int) {
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", n.ip, entryPort, path), content)
 	if err != nil {
 		s.recordProblem("request: %v", err)
 		return 0
@@ -455,6 +465,9 @@
 			}
 		})
 	}
+	for c := range operationClients {
+		clients.Go(func() { s.operate(rand.New(rand.NewPCG(s.seed, uint64(c)+100)), stop) })
+	}
 	version := 1
 	for end := time.Now().Add(length + lethalFaults); time.Now().Before(end); {
 		s.injectFault(&version)
@@ -478,7 +491,7 @@
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	fault := Fault(s.random.IntN(int(Refuse)) + 1)
 	duration := time.Duration(100+s.random.IntN(1500)) * time.Millisecond
-	switch s.random.IntN(8) {
+	switch s.random.IntN(9) {
 	case 0:
 		n.storeProxy.SetFault(fault)
 		time.AfterFunc(duration, func() { n.storeProxy.SetFault(None) })
@@ -497,6 +510,8 @@
 		*version++
 		s.store.Put("op/config", configuration(*version))
 		n.signal(syscall.SIGHUP)
+	case 8:
+		s.rejections.begin(duration)
 	case 7:
 		s.store.SetFaults(store.Faults{Status: http.StatusServiceUnavailable})
 		s.store.Compact()
@@ -556,6 +571,7 @@
 		s.t.Errorf("seed %d: %d requests reached an instance from nodes that knew that it leaves, the first is %s", s.seed, len(late), late[0])
 	}
 	s.checkLethal()
+	s.rejections.check(s)
 	for _, problem := range s.problems {
 		s.t.Errorf("seed %d: %s", s.seed, problem)
 	}
--- a/mesh/match.go
+++ b/mesh/match.go
@@ -131,7 +131,7 @@
 		received, complete, err := p.readOne(conn, req, response)
 		if err != nil {
 			if seenUnplaced {
-				err = fmt.Errorf("%w, then %v", errUnplaced, err) // not a timeout of the request
+				err = fmt.Errorf("%w, then %s", errUnplaced, err.Error()) // not a timeout of the request
 			}
 			return nil, err
 		}
