Wait for the control goroutine before the relayer's reads

Traced: Run waited for the relayer's reads while the control goroutine could still start one (WaitGroup.Add beside Wait, relayer.perform in tick). What it could do: a read that is started after the wait outlives the node.

Change: the goroutines of the node end first.

--- a/node/node.go
+++ b/node/node.go
@@ -277,8 +277,8 @@
 	}
 	n.stop(force)
 	cancelControl()
+	n.group.Wait() // the control goroutine starts the relayer's reads
 	n.relayer.wait()
-	n.group.Wait()
 	n.log.Info("node stopped")
 	return err
 }
