--- a/internal/soak/refused_test.go
+++ b/internal/soak/refused_test.go
@@ -62,7 +62,7 @@
 }
 
 // repeatingConn is a connection of an instance, on which a second copy of an answer may
-// come late: before the next answer, with the id of its request or without.
+// come late: before the next answer, with the id of its request, without, or in part.
 type repeatingConn struct {
 	net.Conn
 	// answer is what has been written since begin.
@@ -78,8 +78,12 @@
 		return true
 	}
 	head, rest, _ := strings.Cut(late, "Request-Id: ")
-	if _, fields, ok := strings.Cut(rest, "\r\n"); ok && rand.N(2) == 0 {
+	_, fields, hasID := strings.Cut(rest, "\r\n")
+	switch form := rand.N(3); {
+	case form == 0 && hasID:
 		late = head + fields
+	case form == 1:
+		late = late[:rand.N(len(late))]
 	}
 	_, err := io.WriteString(c.Conn, late)
 	return err == nil
