--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -29,7 +29,7 @@
 type Step struct {
 	// Announced: other nodes are told of the stop.
 	Announced bool
-	// RefusesPeers: requests of other nodes are refused.
+	// RefusesPeers: the own instance gets no new request, of other nodes above all.
 	RefusesPeers bool
 	// RefusesClients: requests of clients are refused. Calls of the own instance are
 	// accepted while it runs a request.
--- a/mesh/caller.go
+++ b/mesh/caller.go
@@ -49,7 +49,7 @@
 type callerConn struct {
 	net.Conn
 	limits func() catalog.Limits
-	// use is owned by callerConns.
+	// use tells whether the connection has a request. It is owned by callerConns.
 	use atomic.Int32
 	// phase and headerDeadline are only used by the goroutine that serves the
 	// connection.
--- a/mesh/conns.go
+++ b/mesh/conns.go
@@ -21,11 +21,11 @@
 
 func newCallerConns() *callerConns { return &callerConns{open: make(map[*callerConn]struct{})} }
 
-// connUse is whether a connection has a request.
-type connUse = int32
-
+// Values of callerConn.use.
 const (
-	connUnused connUse = iota
+	// connUnused: no request has begun since the last response.
+	connUnused int32 = iota
+	// connInFlight: a request is being read, runs, or its response is being written.
 	connInFlight
 	// connEnding: the node closes the connection.
 	connEnding
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -136,8 +136,8 @@
 }
 
 // sendings are the connections that have carried a request. Responses echo the id of the
-// request, which does not tell its sendings apart: a late copy of the response to the first
-// matches on the same connection the second. So a connection carries a request once.
+// request, which does not tell its sendings apart: on the connection of the first sending, a
+// late copy of its response would match the second. So a connection carries a request once.
 type sendings struct {
 	conns []*pooledConn
 }
