Soak: faults between nodes, at every second guard

Delayed, reset, cut one way and silent connections between the entries of other nodes and a guard, through the proxy that the other links have.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -102,6 +102,8 @@
 	settings   string
 	log        *os.File
 	storeProxy *Proxy
+	// peerProxy is between the other nodes and the guard, nil if they reach it directly.
+	peerProxy *Proxy
 	// server is the listener of the instance behind its proxy.
 	server net.Listener
 
@@ -206,10 +208,15 @@
 	go s.serveInstance(n)
 	n.serverProxy = s.proxy(fmt.Sprint(ip, ":", serverPort), server.Addr().String())
 	n.storeProxy = s.proxy(fmt.Sprint(ip, ":43009"), storeAddress)
+	guard := ip // other nodes call the guard at the address of the instance
+	if i%2 == 1 {
+		guard = fmt.Sprintf("127.80.%d.%d", s.seed%250, i+1)
+		n.peerProxy = s.proxy(fmt.Sprint(ip, ":43002"), fmt.Sprint(guard, ":43002"))
+	}
 	text := fmt.Sprintf("node: n%d\nzone: %s\nservice: desk\nlisten:\n  entry: %s:%d\n  peer: %s:43002\n  control: %s:43003\n"+
 		"  ready: %s:43004\n  metrics: %s:43005\nupstream: %s:%d\nstore: %s:43009\nbounds: [GracePeriodS=%d, RetryBudgetRatio=0.2, BudgetSlack=50, "+
 		"QuotaWindowS=5, QuotaOverage=0.25, QuotaSlack=20]\n",
-		i, n.zone, ip, entryPort, ip, ip, ip, ip, ip, serverPort, ip, int(s.grace.Seconds()))
+		i, n.zone, ip, entryPort, guard, ip, ip, ip, ip, serverPort, ip, int(s.grace.Seconds()))
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -270,6 +277,13 @@
 	n.soak.announced.excuse(n)
 }
 
+// setPeerFault injects a fault between the other nodes and the guard.
+func (n *node) setPeerFault(f Fault) {
+	if n.peerProxy != nil {
+		n.peerProxy.SetFault(f)
+	}
+}
+
 // kill ends the process and prevents its restart.
 func (n *node) kill() {
 	n.mu.Lock()
@@ -476,6 +490,7 @@
 	for _, n := range s.nodes {
 		n.storeProxy.SetFault(None)
 		n.setServerFault(None)
+		n.setPeerFault(None)
 		n.resume()
 	}
 	s.store.SetFaults(store.Faults{})
@@ -491,7 +506,7 @@
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	fault := Fault(s.random.IntN(int(Refuse)) + 1)
 	duration := time.Duration(100+s.random.IntN(1500)) * time.Millisecond
-	switch s.random.IntN(9) {
+	switch s.random.IntN(10) {
 	case 0:
 		n.storeProxy.SetFault(fault)
 		time.AfterFunc(duration, func() { n.storeProxy.SetFault(None) })
@@ -510,6 +525,9 @@
 		*version++
 		s.store.Put("op/config", configuration(*version))
 		n.signal(syscall.SIGHUP)
+	case 9:
+		n.setPeerFault(fault)
+		time.AfterFunc(duration, func() { n.setPeerFault(None) })
 	case 8:
 		s.rejections.begin(duration)
 	case 7:
