--- a/mesh/cut_test.go
+++ b/mesh/cut_test.go
@@ -57,3 +57,31 @@
 		}
 	}
 }
+
+// The same between nodes: a guard ends while it writes its answer or its refusal.
+func TestGuardsAnswerCutAnywhereIsNeitherSuccessNorRefusal(t *testing.T) {
+	r, _ := startRig(t, ok)
+	hint := string((&hint{}).append(nil))
+	for name, answer := range map[string]string{
+		"answer":  "HTTP/1.1 200 OK\r\nT-Id: a\r\nT-Signature: s\r\nTc-Hint: " + hint + "\r\nContent-Length: 4\r\n\r\nbody",
+		"refusal": "HTTP/1.1 503 Unavailable\r\nT-Id: a\r\nTc-Refused: instance-overloaded\r\nTc-Hint: " + hint + "\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var cut atomic.Int64
+			guard := startUpstream(t, "127.0.0.1:0", func(conn net.Conn, _ *http.Request) bool {
+				_, _ = fmt.Fprint(conn, answer[:cut.Load()])
+				return false
+			})
+			for n := range len(answer) {
+				cut.Store(int64(n))
+				if o := r.sendToGuard(guard.address); o.run != runUnknown || o.response != nil {
+					t.Errorf("cut after %q: run %v, response %v", answer[max(0, n-12):n], o.run, o.response != nil)
+				}
+			}
+			cut.Store(int64(len(answer)))
+			if o := r.sendToGuard(guard.address); o.run == runUnknown {
+				t.Errorf("the whole answer: run %v, reason %q", o.run, o.reason)
+			}
+		})
+	}
+}
--- a/mesh/latecopy_test.go
+++ b/mesh/latecopy_test.go
@@ -194,15 +194,7 @@
 				_, _ = fmt.Fprint(conn, tt.answer)
 				return false
 			})
-			out := fasthttp.AcquireRequest()
-			defer fasthttp.ReleaseRequest(out)
-			out.SetRequestURI("/once/x")
-			out.Header.SetHost("h")
-			out.Header.Set(testHeaders.RequestID, "a")
-			state := r.nodes[0].follower.State()
-			peers := newPeers(testHeaders, netip.MustParseAddrPort(guard.address).Port(), func(string, versions) {}, r.nodes[0].quarantines)
-			o := peers.send(t.Context(), &request{out: out, body: &body{}, route: state.Catalog.Route("once"), deadline: time.Now().Add(time.Second)},
-				pick{instance: catalog.Instance{ID: "i", Address: guard.address}})
+			o := r.sendToGuard(guard.address)
 			if o.run != tt.run || o.response != nil {
 				t.Errorf("run %v, response %v, reason %q %s; want run %v and no response", o.run, o.response != nil, o.reason, o.detail, tt.run)
 			}
@@ -210,6 +202,19 @@
 	}
 }
 
+// sendToGuard sends a request that may run once, with the id "a", to a guard at an address.
+func (r *rig) sendToGuard(address string) outcome {
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	out.SetRequestURI("/once/x")
+	out.Header.SetHost("h")
+	out.Header.Set(testHeaders.RequestID, "a")
+	route := r.nodes[0].follower.State().Catalog.Route("once")
+	peers := newPeers(testHeaders, netip.MustParseAddrPort(address).Port(), func(string, versions) {}, r.nodes[0].quarantines)
+	return peers.send(r.t.Context(), &request{out: out, body: &body{}, route: route, deadline: time.Now().Add(time.Second)},
+		pick{instance: catalog.Instance{ID: "i", Address: address}})
+}
+
 // An instance that has run a request answers with a status that promises callers the
 // opposite, and without the header that states it. The caller would send it again.
 func TestStatusThatPromisesNotRunIsNotPassedOnForARequestThatMayHaveRun(t *testing.T) {
