--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -21,9 +22,9 @@
 	items    map[string]item
 	history  []event
 	dropped  uint64 // the newest revision whose event is no longer kept
+	era      int
 	changed  chan struct{}
-	// closed makes the store close its connections without a response.
-	down bool
+	down     bool
 }
 
 const (
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{listener: listener, revision: 100, items: map[string]item{}, changed: make(chan struct{})}
+	s := &Store{listener: listener, revision: 100, era: 1, items: map[string]item{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.handleRange)
 	mux.HandleFunc("GET /kv-watch", s.handleWatch)
@@ -110,27 +111,51 @@
 	s.changed = make(chan struct{})
 }
 
+// Backup is a copy of the store.
+type Backup struct {
+	items    map[string]item
+	revision uint64
+}
+
+func (s *Store) backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Backup{maps.Clone(s.items), s.revision}
+}
+
+// restore brings the store back from a copy: revisions go back, the era rises by one.
+func (s *Store) restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.revision, s.history, s.dropped = maps.Clone(b.items), b.revision, nil, b.revision
+	s.era++
+	s.down = false
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *Store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.down
 }
 
-func reply(w http.ResponseWriter, v any) {
+func reply(w http.ResponseWriter, era int, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "1")
+	w.Header().Set("Store-Era", strconv.Itoa(era))
 	_ = json.NewEncoder(w).Encode(v)
 }
 
 func (s *Store) handleKey(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	i, ok := s.items[r.URL.Query().Get("Key")]
+	era := s.era
 	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reply(w, i)
+	reply(w, era, i)
 }
 
 func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
@@ -161,8 +186,9 @@
 		out.Items = append(out.Items, s.items[key])
 		size += len(s.items[key].Value)
 	}
+	era := s.era
 	s.mu.Unlock()
-	reply(w, out)
+	reply(w, era, out)
 }
 
 func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
@@ -183,7 +209,7 @@
 			s.dropped = s.history[0].item.Revision
 			s.history = s.history[1:]
 		}
-		if after < s.dropped {
+		if after < s.dropped || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -198,16 +224,16 @@
 				events = append(events, e.item)
 			}
 		}
-		revision, changed := s.revision, s.changed
+		revision, era, changed := s.revision, s.era, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			reply(w, map[string]any{"events": events, "StoreRevision": revision})
+			reply(w, era, map[string]any{"events": events, "StoreRevision": revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline.C:
-			reply(w, map[string]any{"events": []any{}, "StoreRevision": revision})
+			reply(w, era, map[string]any{"events": []any{}, "StoreRevision": revision})
 			return
 		case <-r.Context().Done():
 			return
