--- a/review/standin-2/removal.go
+++ b/review/standin-2/removal.go
@@ -62,10 +62,13 @@
 			}
 		}
 		if name == "desk" {
+			s.onAnswer = func(a Answer) { w.record.printf("call %s answered %d", a.id, a.status) }
 			s.calls = func(_ *http.Request, left time.Duration) []Call {
 				var calls []Call
 				for range callsEach {
-					calls = append(calls, Call{from: m.ip, to: m.entry(), method: "GET", path: "/ledger/x", deadline: left})
+					c := Call{from: m.ip, to: m.entry(), method: "GET", path: "/ledger/x", deadline: left, id: newID()}
+					w.record.printf("call %s sent to %s", c.id, m.name)
+					calls = append(calls, c)
 				}
 				return calls
 			}
