Refuse answers whose status is none

What callers saw: an instance in trouble sent an answer with the status 000. Clients got it as an answer: as a 200 with the instance's signature and the body of the failure.

Cause: the library parses any three digits, keeps 0 as "not set" and reports 200 for it. Nothing behind the parser can tell. It also passes on 001 to 099, 600 to 999 and 101, takes HTTP/0.9 and HTTP/2.0 for HTTP/1.0, control bytes in the reason, and skips empty lines before the status line.

Why this works: package wellformed reads the responses of both paths. It checks the status line as it came, before the library interprets it, also that of interim responses. A malformed one is a response that was lost: the request may have run, so that it is answered 502 unless its route allows another attempt, the connection is closed, and it counts against the instance.

--- /dev/null
+++ b/mesh/malformed_test.go
@@ -0,0 +1,78 @@
+package mesh
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// fixedAnswer responds to each request with a text, in which ID stands for the id of the
+// request, and keeps the connection open.
+func fixedAnswer(text string) respondFunc {
+	return func(conn net.Conn, q *http.Request) bool {
+		_, err := conn.Write([]byte(strings.ReplaceAll(text, "ID", q.Header.Get(testHeaders.RequestID))))
+		return err == nil
+	}
+}
+
+// checkMalformed checks that no answer reaches a client: neither that of the own instance
+// nor that of another node's.
+func checkMalformed(t *testing.T, answers map[string]string) {
+	t.Helper()
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, servers := startRig(t, fixedAnswer(answer), dropsConnection)
+			r.store.publish(func(s *memoryStore) { s.instances = s.instances[:1] })
+			r.eventually("one instance is listed", func() bool { return r.nodes[1].follower.State().Directory.Len() == 1 })
+			for node := range 2 {
+				got := r.send(node, "/once/x", "a1", func(q *http.Request) { q.Header.Set(testHeaders.Budget, "700") })
+				if got.err != nil || got.status != http.StatusBadGateway || got.header.Get("T-Signature") != "" {
+					t.Errorf("node %d: status %d, header %q, body %q, %v, want 502 without a signature", node, got.status, got.header, got.body, got.err)
+				}
+			}
+			if got := servers[0].arrived.Load(); got != 2 {
+				t.Errorf("%d requests arrived, want one for each request of the client", got)
+			}
+		})
+	}
+}
+
+const (
+	answerID   = "T-Id: ID\r\nT-Signature: s\r\n"
+	answerBody = "Content-Length: 4\r\n\r\nbody"
+)
+
+// An instance in trouble sends an answer whose status is none. 000 was the worst: the
+// library reports 200 for it.
+func TestAnswerWithMalformedStatusLineIsNoAnswer(t *testing.T) {
+	answers := make(map[string]string)
+	for name, line := range map[string]string{
+		"000":                  "HTTP/1.1 000 Failed",
+		"000 without a reason": "HTTP/1.1 000",
+		"000 of HTTP/1.0":      "HTTP/1.0 000 Failed",
+		"001":                  "HTTP/1.1 001 Failed",
+		"099":                  "HTTP/1.1 099 Failed",
+		"600":                  "HTTP/1.1 600 Failed",
+		"999":                  "HTTP/1.1 999 Failed",
+		"two digits":           "HTTP/1.1 20 OK",
+		"four digits":          "HTTP/1.1 2000 OK",
+		"letters":              "HTTP/1.1 2xx OK",
+		"sign":                 "HTTP/1.1 +20 OK",
+		"upgrade":              "HTTP/1.1 101 Switching Protocols",
+		"no status":            "HTTP/1.1 OK",
+		"two blanks":           "HTTP/1.1  200 OK",
+		"tab":                  "HTTP/1.1\t200 OK",
+		"NUL in the reason":    "HTTP/1.1 200 O\x00K",
+		"CR in the reason":     "HTTP/1.1 200 O\rK",
+		"HTTP/2":               "HTTP/2.0 200 OK",
+		"HTTP/0.9":             "HTTP/0.9 200 OK",
+		"lower case":           "http/1.1 200 OK",
+		"empty line first":     "\r\nHTTP/1.1 200 OK",
+		"interim 000":          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Failed",
+	} {
+		answers[name] = line + "\r\n" + answerID + answerBody
+	}
+	checkMalformed(t, answers)
+}
--- a/mesh/match.go
+++ b/mesh/match.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/toucancove/toucancove/internal/wellformed"
 )
 
 // A response is believed only if it can belong to the sending that it is read for; that a
@@ -186,7 +188,7 @@
 	response.Reset()
 	response.StreamBody = true
 	response.SkipBody = req.Header.IsHead()
-	if err := response.ReadLimitBody(conn.reader, 0); err != nil {
+	if err := wellformed.Read(conn.reader, response); err != nil {
 		return nil, false, err
 	}
 	return p.readBody(conn, response)
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/toucancove/toucancove/internal/sockets"
+	"github.com/toucancove/toucancove/internal/wellformed"
 )
 
 const (
@@ -202,7 +203,7 @@
 	resp.StreamBody = true
 	resp.SkipBody = req.Header.IsHead()
 	reader := c.host.AcquireReader(pooled.conn)
-	if err := resp.ReadLimitBody(reader, 0); err != nil {
+	if err := wellformed.Read(reader, resp); err != nil {
 		c.host.ReleaseReader(reader)
 		fasthttp.ReleaseResponse(resp)
 		return fail(StageRead, err)
--- /dev/null
+++ b/proxy/malformed_test.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"testing"
+)
+
+// rawAnswer responds with a text and closes the connection.
+func rawAnswer(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}
+}
+
+// checkMalformed checks that no answer reaches the caller, and that the request counts as
+// one that may have run.
+func checkMalformed(t *testing.T, answers map[string]string) {
+	t.Helper()
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, rawAnswer(answer))
+			if got := r.do(0, "POST", "/s/x", "body"); got.err != nil || got.status != http.StatusBadGateway || got.run != string(RunUnknown) {
+				t.Errorf("response %+v, want 502 and run %q", got, RunUnknown)
+			}
+			if r.ran() != 1 {
+				t.Errorf("%d requests reached an upstream, want 1", r.ran())
+			}
+		})
+	}
+}
+
+func TestAnswerWithMalformedStatusLineIsNoAnswer(t *testing.T) {
+	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
+	checkMalformed(t, map[string]string{
+		"000":         "HTTP/1.1 000 Failed" + rest,
+		"099":         "HTTP/1.1 099 Failed" + rest,
+		"600":         "HTTP/1.1 600 Failed" + rest,
+		"upgrade":     "HTTP/1.1 101 Switching Protocols" + rest,
+		"HTTP/2":      "HTTP/2.0 200 OK" + rest,
+		"interim 000": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Failed" + rest,
+	})
+}
