Refuse answers with a malformed field line

What callers saw: an instance in trouble sent a head in which the name of a field held a blank. Clients got the answer with that line passed on ("X Field: 1"), or with a body that was not the instance's: "Content-Length : 2" cut the body to two bytes, and "Transfer-Encoding : chunked" took effect.

Cause: the library accepts blanks inside a name, and drops those between a name and the colon, so that a name that is none frames the body. It also joins folded lines (a length then hides in the value of another field, and the body ends with the connection), and takes a bare line feed for the end of a line.

Control bytes, other bytes that are no token characters, missing names and missing colons were refused before: these cases of the test passed. All pass now.

Why this works: each field line is checked as it came, by RFC 9110's grammar, before the library interprets any of them. A folded line is refused rather than joined: RFC 9112 leaves both to a proxy, and joining hides what the instance meant. Empty values, tabs and bytes over 127 in values stay allowed.

--- a/internal/wellformed/head.go
+++ b/internal/wellformed/head.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxQuoted is the number of bytes of a malformed line that an error quotes.
@@ -37,6 +39,26 @@
 	return int(status), checkStatus(int(status))
 }
 
+// checkFieldLine returns an error unless a line is a field line (RFC 9112, 5). One that
+// continues the line before it is none: what it belongs to is a guess.
+func checkFieldLine(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(name) || !isText(value) {
+		return malformedLine("field line", line)
+	}
+	return nil
+}
+
+// isToken reports whether a name is a token (RFC 9110, 5.6.2).
+func isToken(name []byte) bool {
+	for _, c := range name {
+		if !httpguts.IsTokenRune(rune(c)) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 // isText reports whether a value or a reason has no control bytes but tabs (RFC 9110, 5.5).
 func isText(text []byte) bool {
 	for _, c := range text {
--- a/internal/wellformed/read.go
+++ b/internal/wellformed/read.go
@@ -1,8 +1,9 @@
 // Package wellformed reads responses that come from outside of the process.
 //
 // Only a well-formed response counts as one: it reaches a caller, or is believed, only if
-// its status line is one of RFC 9112 and RFC 9110. HTTP libraries are more tolerant, so the
-// heads are checked as they came, before a library interprets them.
+// its status line and its field lines are those of RFC 9112 and RFC 9110.
+// HTTP libraries are more tolerant, so the heads are checked as they came, before a library
+// interprets them.
 package wellformed
 
 import (
@@ -52,40 +53,51 @@
 	status int
 }
 
-// peekHead checks the next head in r without consuming it. Each line is checked as soon as
-// it is complete.
+// peekHead checks the next head in r without consuming it.
 func peekHead(r *bufio.Reader) (head, error) {
 	var h head
+	size, err := peekLines(r, func(number int, line []byte) (last bool, err error) {
+		switch {
+		case number == 0:
+			h.status, err = parseStatusLine(line)
+			return false, err
+		case len(line) == 0:
+			return true, nil
+		}
+		return false, checkFieldLine(line)
+	})
+	h.size = size
+	return h, err
+}
+
+var crlf = []byte("\r\n")
+
+// peekLines calls check with each line of r, as soon as it is complete, until check returns
+// that it was the last. It returns the size of the lines in bytes without consuming them.
+func peekLines(r *bufio.Reader, check func(number int, line []byte) (last bool, err error)) (size int, err error) {
+	number := 0
 	for wanted := 1; ; wanted = r.Buffered() + 1 {
 		_, readErr := r.Peek(wanted)
 		buffered, _ := r.Peek(r.Buffered()) // what is buffered can be peeked
 		for {
-			line, _, complete := bytes.Cut(buffered[h.size:], crlf)
+			line, _, complete := bytes.Cut(buffered[size:], crlf)
 			if !complete {
 				break
 			}
-			first := h.size == 0
-			h.size += len(line) + len(crlf)
-			switch {
-			case first:
-				status, err := parseStatusLine(line)
-				if err != nil {
-					return head{}, err
-				}
-				h.status = status
-			case len(line) == 0:
-				return h, nil
+			size += len(line) + len(crlf)
+			last, err := check(number, line)
+			if last || err != nil {
+				return size, err
 			}
+			number++
 		}
 		switch {
 		case errors.Is(readErr, bufio.ErrBufferFull):
-			return head{}, errHeadTooLarge
+			return size, errHeadTooLarge
 		case errors.Is(readErr, io.EOF) && len(buffered) > 0:
-			return head{}, io.ErrUnexpectedEOF
+			return size, io.ErrUnexpectedEOF
 		case readErr != nil:
-			return head{}, readErr
+			return size, readErr
 		}
 	}
 }
-
-var crlf = []byte("\r\n")
--- a/internal/wellformed/read_test.go
+++ b/internal/wellformed/read_test.go
@@ -59,6 +59,19 @@
 	})
 }
 
+// The same for field lines.
+func TestUnusualFieldLinesAreAnswers(t *testing.T) {
+	const start, rest = "HTTP/1.1 200 OK\r\n", "Content-Length: 4\r\n\r\nbody"
+	var answers []answer
+	for _, line := range []string{
+		"X:", "X: ", "X:1", "X: \t a \t ", "!#$%&'*+-.^_`|~09azAZ: 1", "X: caf\xc3\xa9 \xff", "X: a:b: c", "X: HTTP/1.1", "x-lower: 1",
+		"X: " + strings.Repeat("x", bufferSize/2),
+	} {
+		answers = append(answers, answer{start + line + "\r\n" + rest, 200, "body"})
+	}
+	checkAnswers(t, answers)
+}
+
 // A reader that keeps a head must not keep one without end.
 func TestHeadBeyondTheBufferIsMalformed(t *testing.T) {
 	for name, text := range map[string]string{
--- a/mesh/malformed_test.go
+++ b/mesh/malformed_test.go
@@ -76,3 +76,41 @@
 	}
 	checkMalformed(t, answers)
 }
+
+// An instance in trouble sends a line whose name is none. The library passes some of them
+// on, and takes others for the framing of the body.
+func TestAnswerWithMalformedFieldLineIsNoAnswer(t *testing.T) {
+	answers := make(map[string]string)
+	for name, line := range map[string]string{
+		"blank inside the name":          "X Field: 1",
+		"blank behind the name":          "X-Field : 1",
+		"tab behind the name":            "X-Field\t: 1",
+		"tab inside the name":            "X\tField: 1",
+		"NUL in the name":                "X\x00Field: 1",
+		"control byte in the name":       "X\x01Field: 1",
+		"CR in the name":                 "X\rField: 1",
+		"DEL in the name":                "X\x7fField: 1",
+		"byte over 127 in the name":      "X\xe9Field: 1",
+		"delimiter in the name":          "X(Field): 1",
+		"no name":                        ": 1",
+		"no colon":                       "X-Field",
+		"blank behind the length's name": "Content-Length : 2",
+		"blank inside the length's name": "Content- Length: 2",
+		"blank behind the coding's name": "Transfer-Encoding : chunked",
+		"folded line":                    "X-Field: 1\r\n Content-Length: 2",
+		"NUL in the value":               "X-Field: a\x00b",
+		"CR in the value":                "X-Field: a\rb",
+		"bare line feed":                 "X-Field: a\nX-Other: b",
+	} {
+		const start = "HTTP/1.1 200 OK\r\n"
+		if strings.Contains(name, "length") || strings.Contains(name, "coding") || strings.Contains(name, "folded") {
+			answers[name] = start + answerID + line + "\r\nConnection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+		} else {
+			answers[name] = start + answerID + line + "\r\n" + answerBody
+		}
+		answers[name+", first"] = start + line + "\r\n" + answerID + answerBody
+		answers[name+", interim"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + start + answerID + answerBody
+	}
+	answers["folded line, first"] = "HTTP/1.1 200 OK\r\n X-Field: 1\r\n" + answerID + answerBody
+	checkMalformed(t, answers)
+}
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -46,3 +46,14 @@
 		"interim 000": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Failed" + rest,
 	})
 }
+
+func TestAnswerWithMalformedFieldLineIsNoAnswer(t *testing.T) {
+	const start, rest = "HTTP/1.1 200 OK\r\n", "\r\nConnection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	checkMalformed(t, map[string]string{
+		"blank inside the name":          start + "Content-Length: 4\r\nX Field: 1\r\n\r\nbody",
+		"control byte in the name":       start + "Content-Length: 4\r\nX\x01Field: 1\r\n\r\nbody",
+		"blank behind the length's name": start + "Content-Length : 2" + rest,
+		"blank behind the coding's name": start + "Transfer-Encoding : chunked" + rest,
+		"folded line":                    start + "X-Field: 1\r\n Content-Length: 2" + rest,
+	})
+}
