Refuse answers whose framing is ambiguous

What callers saw, or would: an answer with both a length and a coding was delivered by its coding, whatever the instance meant. One of HTTP/1.0 with a coding had the framing of its chunks taken for the body, up to the end of the connection.

Cause: the library resolves contradictions by itself. It drops a length beside a coding, and ignores a coding in HTTP/1.0.

Why this works: the same check of the head remembers the two fields by their names, and refuses both together (RFC 9112, 6.1: such a message ought to be handled as an error) and a coding in HTTP/1.0 (the framing is faulty). The end of the body is then the same for the instance, the library and the caller.

--- a/internal/wellformed/head.go
+++ b/internal/wellformed/head.go
@@ -6,12 +6,19 @@
 	"net/http"
 	"strconv"
 
+	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
 )
 
 // maxQuoted is the number of bytes of a malformed line that an error quotes.
 const maxQuoted = 40
 
+// Starts of status lines.
+var (
+	version10 = []byte("HTTP/1.0 ")
+	version11 = []byte("HTTP/1.1 ")
+)
+
 // isInterim reports whether a status announces that a final response follows.
 func isInterim(status int) bool { return status < http.StatusOK }
 
@@ -27,11 +34,11 @@
 // parseStatusLine returns the status in a status line (RFC 9112, 4). The blank before a
 // missing reason may be missing too.
 func parseStatusLine(line []byte) (int, error) {
-	const version, digits = len("HTTP/1.1 "), 3
-	if !bytes.HasPrefix(line, []byte("HTTP/1.1 ")) && !bytes.HasPrefix(line, []byte("HTTP/1.0 ")) {
+	const digits = 3
+	if !bytes.HasPrefix(line, version11) && !bytes.HasPrefix(line, version10) {
 		return 0, malformedLine("status line", line)
 	}
-	code, reason, _ := bytes.Cut(line[version:], []byte(" "))
+	code, reason, _ := bytes.Cut(line[len(version11):], []byte(" "))
 	status, err := strconv.ParseUint(string(code), 10, 16)
 	if err != nil || len(code) != digits || !isText(reason) {
 		return 0, malformedLine("status line", line)
@@ -39,12 +46,32 @@
 	return int(status), checkStatus(int(status))
 }
 
-// checkFieldLine returns an error unless a line is a field line (RFC 9112, 5). One that
-// continues the line before it is none: what it belongs to is a guess.
-func checkFieldLine(line []byte) error {
+// parseFieldLine returns the name in a field line (RFC 9112, 5). A line that continues the
+// one before it is none: what it belongs to is a guess.
+func parseFieldLine(line []byte) (name []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !isToken(name) || !isText(value) {
-		return malformedLine("field line", line)
+		return nil, malformedLine("field line", line)
+	}
+	return name, nil
+}
+
+// framing is what a head says about the end of its body. The values are left to the
+// library, which refuses any but one plain length or one coding in chunks.
+type framing struct {
+	oldVersion, hasLength, hasCoding bool
+}
+
+// add adds a field, given by its name.
+func (f *framing) add(name []byte) {
+	f.hasLength = f.hasLength || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
+	f.hasCoding = f.hasCoding || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
+}
+
+// check returns an error if the end of the body is a guess (RFC 9112, 6.1).
+func (f *framing) check() error {
+	if f.hasCoding && (f.hasLength || f.oldVersion) {
+		return fmt.Errorf("%w: ambiguous framing", ErrMalformed)
 	}
 	return nil
 }
--- a/internal/wellformed/read.go
+++ b/internal/wellformed/read.go
@@ -1,8 +1,8 @@
 // Package wellformed reads responses that come from outside of the process.
 //
 // Only a well-formed response counts as one: it reaches a caller, or is believed, only if
-// its status line and its field lines are those of RFC 9112 and RFC 9110.
-// HTTP libraries are more tolerant, so the heads are checked as they came, before a library
+// its status line, its field lines and its framing are those of RFC 9112 and RFC 9110. HTTP
+// libraries are more tolerant, so the heads are checked as they came, before a library
 // interprets them.
 package wellformed
 
@@ -51,6 +51,7 @@
 	// size is its length in bytes, with the empty line at its end.
 	size   int
 	status int
+	framing
 }
 
 // peekHead checks the next head in r without consuming it.
@@ -60,11 +61,14 @@
 		switch {
 		case number == 0:
 			h.status, err = parseStatusLine(line)
+			h.oldVersion = bytes.HasPrefix(line, version10)
 			return false, err
 		case len(line) == 0:
-			return true, nil
+			return true, h.check()
 		}
-		return false, checkFieldLine(line)
+		name, err := parseFieldLine(line)
+		h.add(name)
+		return false, err
 	})
 	h.size = size
 	return h, err
--- a/mesh/malformed_test.go
+++ b/mesh/malformed_test.go
@@ -114,3 +114,32 @@
 	answers["folded line, first"] = "HTTP/1.1 200 OK\r\n X-Field: 1\r\n" + answerID + answerBody
 	checkMalformed(t, answers)
 }
+
+// Where the fields that frame a body contradict each other, its end is a guess.
+func TestAnswerWithAmbiguousFramingIsNoAnswer(t *testing.T) {
+	const chunks, plain = "\r\n4\r\nbody\r\n0\r\n\r\n", "\r\nbody"
+	answers := make(map[string]string)
+	for name, rest := range map[string]string{
+		"length before a coding":    "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"length behind a coding":    "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n" + chunks,
+		"two codings":               "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"list of codings":           "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+		"unknown coding":            "Transfer-Encoding: xchunked\r\n" + chunks,
+		"two lengths":               "Content-Length: 4\r\nContent-Length: 2\r\n" + plain,
+		"list of lengths":           "Content-Length: 4, 2\r\n" + plain,
+		"length with a sign":        "Content-Length: +4\r\n" + plain,
+		"negative length":           "Content-Length: -4\r\n" + plain,
+		"empty length":              "Content-Length: \r\n" + plain,
+		"hexadecimal length":        "Content-Length: 0x4\r\n" + plain,
+		"length beyond 64 bits":     "Content-Length: 18446744073709551620\r\n" + plain,
+		"chunk size with a sign":    "Transfer-Encoding: chunked\r\n\r\n+4\r\nbody\r\n0\r\n\r\n",
+		"chunk size of letters":     "Transfer-Encoding: chunked\r\n\r\nxy\r\nbody\r\n0\r\n\r\n",
+		"chunk size too small":      "Transfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n",
+		"chunk size beyond 64 bits": "Transfer-Encoding: chunked\r\n\r\n10000000000000004\r\nbody\r\n0\r\n\r\n",
+		"line feed behind a size":   "Transfer-Encoding: chunked\r\n\r\n4\nbody\n0\n\n",
+	} {
+		answers[name] = "HTTP/1.1 200 OK\r\n" + answerID + rest
+	}
+	answers["coding in HTTP/1.0"] = "HTTP/1.0 200 OK\r\n" + answerID + "Transfer-Encoding: chunked\r\nConnection: keep-alive\r\n" + chunks
+	checkMalformed(t, answers)
+}
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -57,3 +57,12 @@
 		"folded line":                    start + "X-Field: 1\r\n Content-Length: 2" + rest,
 	})
 }
+
+func TestAnswerWithAmbiguousFramingIsNoAnswer(t *testing.T) {
+	const chunks = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	checkMalformed(t, map[string]string{
+		"length before a coding": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked" + chunks,
+		"coding in HTTP/1.0":     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + chunks,
+		"two lengths":            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
+	})
+}
