Check the lines behind the last chunk, and drop them

What callers saw, or would: a line behind the last chunk of a body was passed on as a field of the head, with a blank in its name ("X Field: 1"), with the blank behind the name removed, or joined with the line that folds it. So was a proper one: fields that nothing had checked, since they come after the answer has been believed.

Cause: the library reads trailers with the same tolerance as heads, out of reach of the check of the head, and writes them with the fields of the head where the body was buffered.

The lines up to the empty one are checked like field lines and dropped, as RFC 9110, 6.5.1 asks of a recipient that does not know them. The body ends with io.EOF only after that, so that a malformed trailer is a response that broke off.

--- a/internal/wellformed/head.go
+++ b/internal/wellformed/head.go
@@ -64,8 +64,14 @@
 
 // add adds a field, given by its name.
 func (f *framing) add(name []byte) {
-	f.hasLength = f.hasLength || bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength))
-	f.hasCoding = f.hasCoding || bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
+	f.hasLength = f.hasLength || isLength(name)
+	f.hasCoding = f.hasCoding || isCoding(name)
+}
+
+func isLength(name []byte) bool { return bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)) }
+
+func isCoding(name []byte) bool {
+	return bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
 }
 
 // check returns an error if the end of the body is a guess (RFC 9112, 6.1).
--- a/internal/wellformed/read.go
+++ b/internal/wellformed/read.go
@@ -26,18 +26,19 @@
 	errHeadTooLarge = fmt.Errorf("%w: head exceeds the buffer", ErrMalformed)
 )
 
-// Read reads the next final response. Its head must fit into the buffer of r. As with
-// fasthttp.Response.ReadLimitBody, a body is read later if the response streams its body,
-// and is not limited. Errors are ErrMalformed, io.EOF if r ends before the first byte, and
-// those of r and of fasthttp.
+// Read reads the head of the next final response, which must fit into the buffer of r. The
+// body, if there is one, is a stream of the response that reads from r, without a limit.
+// Errors are ErrMalformed, io.EOF if r ends before the first byte, and those of r and of
+// fasthttp.
 func Read(r *bufio.Reader, response *fasthttp.Response) error {
+	response.StreamBody = true
 	for range maxInterimResponses + 1 {
 		head, err := peekHead(r)
 		if err != nil {
 			return err
 		}
 		if !isInterim(head.status) {
-			return response.ReadLimitBody(r, 0)
+			return readFinal(r, response)
 		}
 		if _, err := r.Discard(head.size); err != nil {
 			return err
@@ -46,6 +47,20 @@
 	return fmt.Errorf("%w: more than %d interim responses", ErrMalformed, maxInterimResponses)
 }
 
+// chunkedLength is fasthttp's content length of a body in chunks.
+const chunkedLength = -1
+
+// readFinal reads a head that has been checked.
+func readFinal(r *bufio.Reader, response *fasthttp.Response) error {
+	if err := response.ReadLimitBody(r, 0); err != nil {
+		return err
+	}
+	if response.BodyStream() != nil && response.Header.ContentLength() == chunkedLength {
+		response.SetBodyStream(newChunkedBody(r), chunkedLength)
+	}
+	return nil
+}
+
 // head is a head that has been checked.
 type head struct {
 	// size is its length in bytes, with the empty line at its end.
--- a/internal/wellformed/read_test.go
+++ b/internal/wellformed/read_test.go
@@ -16,7 +16,7 @@
 // read reads a response with its whole body. The source returns a byte at a time, so that
 // each head is seen in every state of completeness.
 func read(text string) (status int, body string, err error) {
-	response := &fasthttp.Response{StreamBody: true}
+	response := &fasthttp.Response{}
 	if err := Read(bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(text)), bufferSize), response); err != nil {
 		return 0, "", err
 	}
@@ -72,6 +72,34 @@
 	checkAnswers(t, answers)
 }
 
+// The same for bodies in chunks.
+func TestUnusualChunksAreAnswers(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	checkAnswers(t, []answer{
+		{start + "4\r\nbody\r\n0\r\n\r\n", 200, "body"},
+		{start + "2;a=b;c\r\nbo\r\n2 \r\ndy\r\n0;end\r\n\r\n", 200, "body"},
+		{start + "0004\r\nbody\r\n000\r\nX: 1\r\nY:\r\n\r\n", 200, "body"},
+		{start + "A\r\n0123456789\r\na\r\n0123456789\r\n0\r\n\r\n", 200, "01234567890123456789"},
+		{start + "0\r\n\r\n", 200, ""},
+	})
+}
+
+// A recipient must not take fields behind the body for those of the head: they come too
+// late to have been checked.
+func TestTrailerIsNoPartOfTheHead(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nTrailer: X-Late\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Late: 1\r\nY-Late: 1\r\n\r\n"
+	response := &fasthttp.Response{}
+	if err := Read(bufio.NewReader(strings.NewReader(text)), response); err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(response.BodyStream()); string(body) != "body" || err != nil {
+		t.Errorf("body %q, %v", body, err)
+	}
+	if header := response.Header.String(); strings.Contains(header, "Late: 1") {
+		t.Errorf("header %q", header)
+	}
+}
+
 // A reader that keeps a head must not keep one without end.
 func TestHeadBeyondTheBufferIsMalformed(t *testing.T) {
 	for name, text := range map[string]string{
--- a/mesh/malformed_test.go
+++ b/mesh/malformed_test.go
@@ -143,3 +143,22 @@
 	answers["coding in HTTP/1.0"] = "HTTP/1.0 200 OK\r\n" + answerID + "Transfer-Encoding: chunked\r\nConnection: keep-alive\r\n" + chunks
 	checkMalformed(t, answers)
 }
+
+// Lines behind the last chunk are lines of the head that come late.
+func TestAnswerWithMalformedTrailerIsNoAnswer(t *testing.T) {
+	answers := make(map[string]string)
+	for name, line := range map[string]string{
+		"blank inside the name":    "X Field: 1",
+		"blank behind the name":    "X-Field : 1",
+		"tab behind the name":      "X-Field\t: 1",
+		"control byte in the name": "X\x01Field: 1",
+		"no name":                  ": 1",
+		"no colon":                 "X-Field",
+		"folded line":              "X-Field: 1\r\n more",
+		"NUL in the value":         "X-Field: a\x00b",
+		"length":                   "Content-Length: 2",
+	} {
+		answers[name] = "HTTP/1.1 200 OK\r\n" + answerID + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n\r\n"
+	}
+	checkMalformed(t, answers)
+}
--- a/mesh/match.go
+++ b/mesh/match.go
@@ -186,7 +186,6 @@
 // readOne reads one response, whose body is either complete or a stream.
 func (p *connPool) readOne(conn *pooledConn, req *fasthttp.Request, response *fasthttp.Response) (r *receivedResponse, complete bool, err error) {
 	response.Reset()
-	response.StreamBody = true
 	response.SkipBody = req.Header.IsHead()
 	if err := wellformed.Read(conn.reader, response); err != nil {
 		return nil, false, err
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -200,7 +200,6 @@
 		return fail(StageWrite, err)
 	}
 	resp := fasthttp.AcquireResponse()
-	resp.StreamBody = true
 	resp.SkipBody = req.Header.IsHead()
 	reader := c.host.AcquireReader(pooled.conn)
 	if err := wellformed.Read(reader, resp); err != nil {
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -66,3 +66,15 @@
 		"two lengths":            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
 	})
 }
+
+func TestAnswerWithMalformedTrailerIsNoAnswer(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+	for name, line := range map[string]string{"blank inside the name": "X Field: 1", "no colon": "X-Field"} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, rawAnswer(start+line+"\r\n\r\n"))
+			if got := r.do(0, "POST", "/s/x", "body"); got.err == nil && got.status != http.StatusBadGateway {
+				t.Errorf("response %+v, want a broken one or 502", got)
+			}
+		})
+	}
+}
