Don't believe malformed responses to health checks and reads of the store

What would be seen: an upstream that drains answers a health check with the status 000, or with a blank in the name of a field, and counts as serving again. The store answers with "Store-Era : 3", and its list counts as one of a store that was never restored.

Cause: net/http reports a status of 000 as 0 and passes on 600 to 999, so that all but 503 counted as "not draining"; and it keeps blanks in names, so that no reader finds the field that they belong to and its absence is taken for a statement.

Control bytes in names, and 000 from the store, were refused before.

Why this works: the transport that bounds what these clients keep checks the status and the names of the parsed head too, with the same functions as for requests, and returns an error. An error changes nothing at each of these readers: it is what a lost response is. Folded lines are joined by net/http before the check: they are not seen there.

--- a/internal/wellformed/transport.go
+++ b/internal/wellformed/transport.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxHeadBytes bounds what net/http reads of the heads of one response, in bytes.
@@ -12,8 +14,8 @@
 // ErrTooLarge means that the body of a response exceeds the limit of its reader.
 var ErrTooLarge = errors.New("response body is too large")
 
-// Transport is an http.RoundTripper for clients that keep a response as a whole. It bounds
-// the head and the body of each.
+// Transport is an http.RoundTripper for clients that keep a response as a whole. It refuses
+// malformed heads, and bounds the head and the body of each response.
 type Transport struct {
 	next         *http.Transport
 	maxBodyBytes int64
@@ -32,10 +34,28 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkParsed(response); err != nil {
+		_ = response.Body.Close() // nothing of it is read
+		return nil, err
+	}
 	response.Body = &limitedBody{ReadCloser: response.Body, left: t.maxBodyBytes}
 	return response, nil
 }
 
+// checkParsed checks what net/http accepts of a malformed head. It keeps the blanks in and
+// behind a name, so that no reader finds the field; those of folded lines are lost.
+func checkParsed(response *http.Response) error {
+	if err := checkStatus(response.StatusCode); err != nil {
+		return err
+	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return malformedLine("field name", []byte(name))
+		}
+	}
+	return nil
+}
+
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
