Refuse what can't end before a planned stop does

What callers saw, or would: in a planned stop, in calm, requests that came late in the grace period were accepted and passed on, ran, and were cut without an answer when the process exited, among them requests that may run once.

Cause: acceptance looked at the time since the signal only, and never at the end of the process.

Why this works: the deadline of a request bounds how long it takes, and it is known before anything is sent. Once callers have had time to turn away (2.5 s), core/drain accepts a client's request only if its deadline leaves time for the response before the exit; calls of the own instance from 2.9 s on, since refusing one fails the request that makes it, which was accepted before. The others are refused as not run with the connection closed. The look is repeated when the body has been read. Requests that end in time are served as before.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -348,6 +348,11 @@
 		n.runLethal(request, id)
 		return false
 	}
+	if work, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
+		time.Sleep(work)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\n", request)
+		return err == nil
+	}
 	time.Sleep(rand.N(s.maxWork))
 	body := "for " + request
 	switch {
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -1,6 +1,10 @@
 package soak
 
 import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -58,3 +62,70 @@
 	}
 	t.Logf("%d requests sent, %d without an answer", s.sent.Load(), len(s.unanswered))
 }
+
+// A client that goes on sending late in a planned stop must not have its requests passed on
+// and then cut, although they may take longer than the process is there.
+func TestPlannedStopDoesNotCutLateRequests(t *testing.T) {
+	const (
+		grace   = 8 * time.Second
+		timeout = 9 * time.Second
+		// work is the time for which a request runs. The first keeps the node from
+		// exiting early, the others end after it has to.
+		firstWork, lateWork = 4 * time.Second, 7 * time.Second
+		pause               = 100 * time.Millisecond
+	)
+	s := startWithGrace(t, 243, 2, grace)
+	s.store.Put("op/config", bytes.ReplaceAll(configuration(2), []byte(`"TimeoutS":1`), fmt.Appendf(nil, `"TimeoutS":%v`, timeout.Seconds())))
+	time.Sleep(time.Second) // the configuration is in force
+	var group sync.WaitGroup
+	send := func(id string, work time.Duration) {
+		group.Go(func() { s.sendSlow(id, work, timeout) })
+	}
+	signalled := time.Now()
+	send("first", firstWork)
+	ended := s.nodes[0].signal(syscall.SIGTERM)
+	late := 0
+	for running := true; running; {
+		select {
+		case <-ended:
+			running = false
+		case <-time.After(pause):
+			// Operators excuse requests that were sent within 3 s of the signal.
+			if time.Since(signalled) > 3*time.Second {
+				late++
+				send(fmt.Sprint("late-", late), lateWork)
+			}
+		}
+	}
+	group.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range s.unanswered {
+		if s.runs[id] > 0 {
+			t.Errorf("request %s ran, and its connection ended without an answer", id)
+		}
+	}
+	if late == 0 {
+		t.Error("the node ended before any late request")
+	}
+	t.Logf("%d late requests, %d without an answer", late, len(s.unanswered))
+}
+
+// sendSlow sends a request that may run once and runs for a time.
+func (s *soak) sendSlow(id string, work, budget time.Duration) {
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/once/x?work=%v", s.nodes[0].ip, entryPort, work), nil)
+	if err != nil {
+		s.recordProblem("request: %v", err)
+		return
+	}
+	request.Host = "h"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(budget.Milliseconds(), 10))
+	request.Header.Set("Credential", unmeteredKey)
+	response, err := s.client.RoundTrip(request)
+	if err != nil {
+		s.recordUnanswered(id)
+		return
+	}
+	_ = response.Body.Close()
+}
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -164,16 +164,10 @@
 	return nil
 }
 
-// accepts reports whether a node that may be stopping accepts a request. Calls of the own
-// instance are accepted as long as it runs a request that they can belong to.
+// accepts reports whether a node that may be stopping accepts a request. What counts as a
+// call of the own instance is one only while that runs a request which it can belong to.
 func (e *entry) accepts(r *request) bool {
-	switch {
-	case e.cfg.stopping.refusesAll.Load():
-		return false
-	case e.cfg.stopping.refusesClients.Load():
-		return r.call && e.cfg.calls.anyRunning()
-	}
-	return true
+	return e.cfg.stopping.accepts(r.call && e.cfg.calls.anyRunning(), r.deadline)
 }
 
 // setTimes sets the deadline from the caller's time budget and the route's timeout.
@@ -296,6 +290,9 @@
 
 // dispatch tries instances until one responds or no further attempt is allowed.
 func (e *entry) dispatch(ctx context.Context, r *request) outcome {
+	if !e.accepts(r) { // the stop may have gone on while the body was read
+		return refusedOutcome(reasonLeaving, "")
+	}
 	merged := refusedOutcome(reasonNoInstance, "")
 	for {
 		target, err := e.cfg.routes.pick(r)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -181,16 +181,30 @@
 // stopSteps are the steps of a planned stop, as the goroutines that serve requests see
 // them.
 type stopSteps struct {
-	announced, refusesPeers, refusesClients, refusesAll atomic.Bool
+	announced, refusesPeers, refusesLateCalls, refusesClients, refusesAll atomic.Bool
+	// lastDeadline is the latest deadline of a request that ends before the process exits;
+	// nil before the stop.
+	lastDeadline atomic.Pointer[time.Time]
 }
 
 func (s *stopSteps) set(step drain.Step) {
 	s.announced.Store(step.Announced)
 	s.refusesPeers.Store(step.RefusesPeers)
+	s.refusesLateCalls.Store(step.RefusesLateCalls)
 	s.refusesClients.Store(step.RefusesClients)
 	s.refusesAll.Store(step.RefusesAll)
 }
 
+// accepts is drain.Step.Accepts for a request with a deadline.
+func (s *stopSteps) accepts(call bool, deadline time.Time) bool {
+	step := drain.Step{
+		RefusesPeers: s.refusesPeers.Load(), RefusesLateCalls: s.refusesLateCalls.Load(),
+		RefusesClients: s.refusesClients.Load(), RefusesAll: s.refusesAll.Load(),
+	}
+	last := s.lastDeadline.Load()
+	return step.Accepts(call, last == nil || !deadline.After(*last))
+}
+
 // Run serves until ctx is done, then performs a planned stop.
 func (n *Node) Run(ctx context.Context) error {
 	servers, err := n.listen()
@@ -233,6 +247,8 @@
 	started := time.Now()
 	n.log.Info("node stopping", "running", n.conns.inFlight.Load())
 	plan := drain.Drain{Grace: n.cfg.Grace}
+	lastDeadline := started.Add(plan.LastDeadline())
+	n.stopping.lastDeadline.Store(&lastDeadline)
 	closed := false
 	for {
 		step := plan.Next(time.Since(started), int(n.conns.inFlight.Load()), n.conns.count())
--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -125,3 +127,88 @@
 		t.Error("the request has run")
 	}
 }
+
+// A request that comes late in a planned stop, and may take longer than the process is
+// there, must not be passed on: it would be cut without an answer. What can end in time is
+// served, calls of the own instance above all.
+func TestRequestThatCanNotEndInAPlannedStopIsNotPassedOn(t *testing.T) {
+	const (
+		grace = 6 * time.Second
+		// long is a time budget in milliseconds that ends after the process, short is not.
+		long, short = 9000, 300
+	)
+	release := make(chan struct{})
+	answer := func(conn net.Conn, q *http.Request) bool {
+		if budget, _ := strconv.Atoi(q.Header.Get(testHeaders.Budget)); budget > short {
+			<-release
+		}
+		return ok(conn, q)
+	}
+	r, servers := startRigWith(t, grace, answer, answer)
+	r.store.publish(func(s *memoryStore) {
+		d := testDefinition()
+		d.Version = 2
+		for i := range d.Routes {
+			d.Routes[i].Timeout = 9 * time.Second
+			d.Routes[i].Public = true
+		}
+		s.definition = d
+	})
+	r.eventually("the routes are public", func() bool { return r.nodes[0].follower.State().Version() == 2 })
+
+	// The stop doesn't end before these, and calls can belong to those at the own instance.
+	clients := &http.Transport{DisableKeepAlives: true}
+	var early sync.WaitGroup
+	for servers[0].arrived.Load() == 0 {
+		before := servers[0].arrived.Load() + servers[1].arrived.Load()
+		early.Go(func() {
+			if status, err := r.sendFrom(clients, 0, long); err != nil || status != http.StatusOK {
+				t.Errorf("before the stop: status %d, %v", status, err)
+			}
+		})
+		r.eventually("the request runs", func() bool { return servers[0].arrived.Load()+servers[1].arrived.Load() > before })
+	}
+	r.stops[0]()
+
+	calls := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{
+		LocalAddr: &net.TCPAddr{IP: net.ParseIP(strings.Split(r.address(0, 0), ":")[0])},
+	}).DialContext}
+	check := func(what string, transport *http.Transport, budget, want int) {
+		t.Helper()
+		before := servers[0].arrived.Load() + servers[1].arrived.Load()
+		status, err := r.sendFrom(transport, 0, budget)
+		if err != nil || status != want {
+			t.Errorf("%s with a time budget of %d ms: status %d, %v, want %d", what, budget, status, err, want)
+		}
+		passedOn := servers[0].arrived.Load() + servers[1].arrived.Load() - before
+		if (passedOn > 0) != (want == http.StatusOK) {
+			t.Errorf("%s with a time budget of %d ms: passed on %d times", what, budget, passedOn)
+		}
+	}
+	r.eventually("the notice is over", func() bool { return r.nodes[0].stopping.refusesPeers.Load() })
+	check("client after the notice", clients, short, http.StatusOK)
+	check("client after the notice", clients, long, http.StatusServiceUnavailable)
+	r.eventually("clients are refused", func() bool { return r.nodes[0].stopping.refusesClients.Load() })
+	check("call at the end", calls, short, http.StatusOK)
+	check("call at the end", calls, long, http.StatusServiceUnavailable)
+	close(release)
+	early.Wait()
+	<-r.ended[0]
+}
+
+// sendFrom sends a request without a key to the entry of a node, and returns its status.
+// The time budget is in milliseconds.
+func (r *rig) sendFrom(transport *http.Transport, node, budget int) (int, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+r.address(node, entryPort)+"/once/x", strings.NewReader("body"))
+	if err != nil {
+		return 0, err
+	}
+	request.Host = "h"
+	request.Header.Set(testHeaders.RequestID, fmt.Sprint("budget-", budget))
+	request.Header.Set(testHeaders.Budget, strconv.Itoa(budget))
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
