--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/toucancove/toucancove/internal/standin/raw"
 )
 
 const (
@@ -18,23 +20,23 @@
 	maxSent = 96 << 20
 )
 
-// Response is a response that begins with Start and goes on with Part, again and again.
-type Response struct{ Start, Part string }
+// response is a response that begins with start and goes on with part, again and again.
+type response struct{ start, part string }
 
 // send sends the response until the connection is closed.
-func (r Response) send(conn net.Conn) {
-	chunk := []byte(strings.Repeat(r.Part, max(1, chunkBytes/len(r.Part))))
-	_, err := conn.Write([]byte(r.Start))
+func (r response) send(conn net.Conn) {
+	chunk := []byte(strings.Repeat(r.part, max(1, chunkBytes/len(r.part))))
+	_, err := conn.Write([]byte(r.start))
 	for sent := 0; err == nil && sent < maxSent; sent += len(chunk) {
 		_, err = conn.Write(chunk)
 	}
 }
 
-// Responses returns endless responses of each form, by name. fields are lines of the head
+// responses returns endless responses of each form, by name. fields are lines of the head
 // that a reader may need to go on.
-func Responses(fields string) map[string]Response {
+func responses(fields string) map[string]response {
 	ok := "HTTP/1.1 200 OK\r\n" + fields
-	return map[string]Response{
+	return map[string]response{
 		"status line":         {"", "x"},
 		"empty lines":         {"", "\r\n"},
 		"header field":        {ok + "X-Long: ", "x"},
@@ -50,34 +52,6 @@
 	}
 }
 
-// Start starts a server that responds to the first request on each connection with an
-// endless response, and returns its address. It ends with the test.
-func Start(t testing.TB, response Response) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go serve(listener, response)
-	return listener.Addr().String()
-}
-
-func serve(listener net.Listener, response Response) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close() //nolint:errcheck // the test is over
-			if _, err := conn.Read(make([]byte, chunkBytes)); err == nil {
-				response.send(conn)
-			}
-		}()
-	}
-}
-
 // HeapOf returns by how many bytes the heap grows at most while f runs.
 func HeapOf(f func()) uint64 {
 	const interval = 5 * time.Millisecond
@@ -131,9 +105,9 @@
 
 func checkHeap(t *testing.T, calls int, fields string, call func(address string)) {
 	t.Helper()
-	for name, response := range Responses(fields) {
+	for name, form := range responses(fields) {
 		t.Run(name, func(t *testing.T) {
-			address := Start(t, response)
+			address := raw.Serve(t, form.send)
 			grown := HeapOf(func() {
 				var group sync.WaitGroup
 				for range calls {
--- a/internal/wellformed/transport_test.go
+++ b/internal/wellformed/transport_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"github.com/toucancove/toucancove/internal/standin/raw"
 )
 
 func TestBodyLimit(t *testing.T) {
@@ -35,3 +37,24 @@
 		}
 	}
 }
+
+// What net/http accepts of a malformed head must not reach the readers that keep responses.
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	const rest = "Content-Length: 0\r\nConnection: close\r\n\r\n"
+	for name, head := range map[string]string{
+		"status 000":               "HTTP/1.1 000 Failed\r\n",
+		"status 099":               "HTTP/1.1 099 Failed\r\n",
+		"status 600":               "HTTP/1.1 600 Failed\r\n",
+		"upgrade":                  "HTTP/1.1 101 Switching Protocols\r\n",
+		"blank inside the name":    "HTTP/1.1 200 OK\r\nX Field: 1\r\n",
+		"blank behind the name":    "HTTP/1.1 200 OK\r\nX-Field : 1\r\n",
+		"control byte in the name": "HTTP/1.1 200 OK\r\nX\x01Field: 1\r\n",
+		"delimiter in the name":    "HTTP/1.1 200 OK\r\nX(Field): 1\r\n",
+	} {
+		client := &http.Client{Transport: NewTransport(&http.Transport{}, 0)}
+		if response, err := client.Get("http://" + raw.Start(t, head+rest).Address); err == nil {
+			t.Errorf("%s: status %d, header %v", name, response.StatusCode, response.Header)
+			_ = response.Body.Close()
+		}
+	}
+}
--- a/mesh/endless_test.go
+++ b/mesh/endless_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/toucancove/toucancove/internal/sockets"
+	"github.com/toucancove/toucancove/internal/standin/flood"
 )
 
 // endless responds with a start and then the same part without end, until the
@@ -33,36 +34,6 @@
 	}
 }
 
-// peakHeap returns a function that returns by how many bytes the heap grew at most since
-// the call.
-func peakHeap() (growth func() uint64) {
-	heap := func() uint64 {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return m.HeapAlloc
-	}
-	runtime.GC()
-	before, peak := heap(), uint64(0)
-	stop, stopped := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for ticker := time.NewTicker(5 * time.Millisecond); ; {
-			select {
-			case <-ticker.C:
-				peak = max(peak, heap())
-			case <-stop:
-				ticker.Stop()
-				return
-			}
-		}
-	}()
-	return func() uint64 {
-		close(stop)
-		<-stopped
-		return max(peak, before) - before
-	}
-}
-
 // An instance in trouble sends bytes without end. The caller must get a status that is
 // true, or a response that can't be taken for a complete one, and the memory of the node
 // must not depend on how much is sent.
@@ -71,8 +42,6 @@
 		ok = "HTTP/1.1 200 OK\r\nT-Id: ID\r\nT-Signature: s\r\n"
 		// requests are sent at once, through each of the two nodes.
 		requests = 8
-		// maxHeap is a tenth of the memory of a node, in bytes.
-		maxHeap = 28 << 20
 	)
 	for name, form := range map[string]struct{ start, part string }{
 		"status line":            {"", "x"},
@@ -96,15 +65,15 @@
 			r, servers := startRig(t, endless(form.start, form.part, &written, &closed), dropsConnection)
 			r.store.publish(func(s *memoryStore) { s.instances = s.instances[:1] })
 			r.eventually("one instance is listed", func() bool { return r.nodes[1].follower.State().Directory.Len() == 1 })
-			growth := peakHeap()
-			var clients sync.WaitGroup
-			for i := range 2 * requests {
-				clients.Go(func() { r.checkEndless(i%2, fmt.Sprint("id-", i)) })
-			}
-			clients.Wait()
-			got := growth()
-			if got > maxHeap {
-				t.Errorf("the heap grew by %d MB, want at most %d", got>>20, maxHeap>>20)
+			got := flood.HeapOf(func() {
+				var clients sync.WaitGroup
+				for i := range 2 * requests {
+					clients.Go(func() { r.checkEndless(i%2, fmt.Sprint("id-", i)) })
+				}
+				clients.Wait()
+			})
+			if got > flood.MaxHeap {
+				t.Errorf("the heap grew by %d MB, want at most %d", got>>20, flood.MaxHeap>>20)
 			}
 			t.Logf("%d MB sent, the heap grew by %.1f MB", written.Load()>>20, float64(got)/(1<<20))
 			r.eventually("the connections to the instance are closed", func() bool { return closed.Load() == servers[0].arrived.Load() })
