--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -81,10 +81,10 @@
 	}
 }
 
-// exitAfter returns the time after the begin of the stop at which the process exits.
+// exitAfter returns the time after the start of the stop at which the process exits.
 func (d *Drain) exitAfter() time.Duration { return time.Duration(stopShare * float64(d.Grace)) }
 
-// LastDeadline returns the latest deadline, after the begin of the stop, of a request whose
+// LastDeadline returns the latest deadline, after the start of the stop, of a request whose
 // response is delivered before the process exits.
 func (d *Drain) LastDeadline() time.Duration { return d.exitAfter() - responseTime }
 
--- a/internal/wellformed/head.go
+++ b/internal/wellformed/head.go
@@ -59,7 +59,7 @@
 // framing is what a head says about the end of its body. The values are left to the
 // library, which refuses any but one plain length or one coding in chunks.
 type framing struct {
-	oldVersion, hasLength, hasCoding bool
+	isHTTP10, hasLength, hasCoding bool
 }
 
 // add adds a field, given by its name.
@@ -76,7 +76,7 @@
 
 // check returns an error if the end of the body is a guess (RFC 9112, 6.1).
 func (f *framing) check() error {
-	if f.hasCoding && (f.hasLength || f.oldVersion) {
+	if f.hasCoding && (f.hasLength || f.isHTTP10) {
 		return fmt.Errorf("%w: ambiguous framing", ErrMalformed)
 	}
 	return nil
--- a/internal/wellformed/read.go
+++ b/internal/wellformed/read.go
@@ -76,7 +76,7 @@
 		switch {
 		case number == 0:
 			h.status, err = parseStatusLine(line)
-			h.oldVersion = bytes.HasPrefix(line, version10)
+			h.isHTTP10 = bytes.HasPrefix(line, version10)
 			return false, err
 		case len(line) == 0:
 			return true, h.check()
