--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -295,7 +295,7 @@
 }
 
 // serveInstance is an instance that counts its runs and at random refuses
-// requests, closes connections, and sends truncated and unsolicited responses.
+// requests, closes connections, and sends truncated, malformed and unsolicited responses.
 func (s *soak) serveInstance(n *node) {
 	for {
 		conn, err := n.server.Accept()
@@ -361,6 +361,9 @@
 	case chance < 0.07: // the response is truncated
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\nContent-Length: %d\r\n\r\nfor", request, len(body))
 		return false
+	case 0.09 <= chance && chance < 0.1: // the response is malformed
+		_, err := fmt.Fprintf(conn, malformed[rand.N(len(malformed))], request)
+		return err == nil
 	}
 	const unsolicited = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Signature: s\r\nContent-Length: 5\r\n\r\nstray"
 	if chance < 0.09 { // an unsolicited response precedes
@@ -373,6 +376,15 @@
 	return err == nil
 }
 
+// malformed are responses that must not reach a client. Their bodies are not those of the
+// requests, and they carry its signature.
+var malformed = []string{
+	"HTTP/1.1 000 Failed\r\nRequest-Id: %s\r\nServer-Signature: s\r\nContent-Length: 6\r\n\r\nbroken",
+	"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\nContent- Length: 6\r\nContent-Length: 3\r\n\r\nbroken",
+	"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\nContent-Length : 6\r\n\r\nbroken",
+	"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\nX\x01Y: 1\r\nContent-Length: 6\r\n\r\nbroken",
+}
+
 func (s *soak) recordProblem(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
