--- a/mesh/stop_test.go
+++ b/mesh/stop_test.go
@@ -128,72 +128,125 @@
 	}
 }
 
-// A request that comes late in a planned stop, and may take longer than the process is
-// there, must not be passed on: it would be cut without an answer. What can end in time is
-// served, calls of the own instance above all.
-func TestRequestThatCanNotEndInAPlannedStopIsNotPassedOn(t *testing.T) {
-	const (
-		grace = 10 * time.Second
-		// long is a time budget in milliseconds that ends after the process, short is not.
-		long, short = 9000, 1500
-	)
-	release := make(chan struct{})
+// Time budgets of requests in milliseconds: one that ends after a process with stopGrace has
+// exited, even if it began with the stop, and one that ends before for a while.
+const (
+	stopGrace           = 10 * time.Second
+	longTime, shortTime = 9900, 1500
+)
+
+// startStop starts the planned stop of the first of two nodes. It does not end before
+// release is called: requests with a long time budget run until then, one of them at the
+// own instance of the node, so that calls can belong to it.
+func startStop(t *testing.T) (r *rig, servers []*upstream, release func()) {
+	t.Helper()
+	released := make(chan struct{})
 	answer := func(conn net.Conn, q *http.Request) bool {
-		if budget, _ := strconv.Atoi(q.Header.Get(testHeaders.Budget)); budget > short {
-			<-release
+		if budget, _ := strconv.Atoi(q.Header.Get(testHeaders.Budget)); budget > shortTime {
+			<-released
 		}
 		return ok(conn, q)
 	}
-	r, servers := startRigWith(t, grace, answer, answer)
+	r, servers = startRigWith(t, stopGrace, answer, answer)
 	r.store.publish(func(s *memoryStore) {
 		d := testDefinition()
 		d.Version = 2
 		for i := range d.Routes {
-			d.Routes[i].Timeout = grace
+			d.Routes[i].Timeout = stopGrace
 			d.Routes[i].Public = true
 		}
 		s.definition = d
 	})
 	r.eventually("the routes are public", func() bool { return r.nodes[0].follower.State().Version() == 2 })
-
-	// The stop doesn't end before these, and calls can belong to those at the own instance.
 	clients := &http.Transport{DisableKeepAlives: true}
 	var early sync.WaitGroup
 	for servers[0].arrived.Load() == 0 {
-		before := servers[0].arrived.Load() + servers[1].arrived.Load()
+		before := arrivals(servers)
 		early.Go(func() {
-			if status, err := r.sendFrom(clients, 0, long); err != nil || status != http.StatusOK {
+			if status, err := r.sendFrom(clients, 0, longTime); err != nil || status != http.StatusOK {
 				t.Errorf("before the stop: status %d, %v", status, err)
 			}
 		})
-		r.eventually("the request runs", func() bool { return servers[0].arrived.Load()+servers[1].arrived.Load() > before })
+		r.eventually("the request runs", func() bool { return arrivals(servers) > before })
 	}
 	r.stops[0]()
+	return r, servers, func() {
+		close(released)
+		early.Wait()
+		<-r.ended[0]
+	}
+}
 
+// arrivals returns the number of requests that have arrived at instances.
+func arrivals(servers []*upstream) (n int64) {
+	for _, s := range servers {
+		n += s.arrived.Load()
+	}
+	return n
+}
+
+// A request that comes late in a planned stop, and may take longer than the process is
+// there, must not be passed on: it would be cut without an answer. What can end in time is
+// served, calls of the own instance above all.
+func TestRequestThatCanNotEndInAPlannedStopIsNotPassedOn(t *testing.T) {
+	r, servers, release := startStop(t)
+	clients := &http.Transport{DisableKeepAlives: true}
 	calls := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{
 		LocalAddr: &net.TCPAddr{IP: net.ParseIP(strings.Split(r.address(0, 0), ":")[0])},
 	}).DialContext}
 	check := func(what string, transport *http.Transport, budget, want int) {
 		t.Helper()
-		before := servers[0].arrived.Load() + servers[1].arrived.Load()
+		before := arrivals(servers)
 		status, err := r.sendFrom(transport, 0, budget)
 		if err != nil || status != want {
 			t.Errorf("%s with a time budget of %d ms: status %d, %v, want %d", what, budget, status, err, want)
 		}
-		passedOn := servers[0].arrived.Load() + servers[1].arrived.Load() - before
+		passedOn := arrivals(servers) - before
 		if (passedOn > 0) != (want == http.StatusOK) {
 			t.Errorf("%s with a time budget of %d ms: passed on %d times", what, budget, passedOn)
 		}
 	}
 	r.eventually("the notice is over", func() bool { return r.nodes[0].stopping.refusesPeers.Load() })
-	check("client after the notice", clients, short, http.StatusOK)
-	check("client after the notice", clients, long, http.StatusServiceUnavailable)
+	check("client after the notice", clients, shortTime, http.StatusOK)
+	check("client after the notice", clients, longTime, http.StatusServiceUnavailable)
 	r.eventually("clients are refused", func() bool { return r.nodes[0].stopping.refusesClients.Load() })
-	check("call at the end", calls, short, http.StatusOK)
-	check("call at the end", calls, long, http.StatusServiceUnavailable)
-	close(release)
-	early.Wait()
-	<-r.ended[0]
+	check("call at the end", calls, shortTime, http.StatusOK)
+	check("call at the end", calls, longTime, http.StatusServiceUnavailable)
+	release()
+}
+
+// The header of a request comes before callers can know of the stop, the rest of its body
+// later. What counts is when the request would be passed on. Short bodies are read before
+// the entry sees the request, longer ones by the entry.
+func TestRequestWhoseBodyComesLateInAPlannedStopIsNotPassedOn(t *testing.T) {
+	r, servers, release := startStop(t)
+	var conns []net.Conn
+	for _, size := range []int{2, maxBufferedBody / 2} {
+		conn := r.dialEntry(0)
+		if _, err := fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\n%s: slow\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+			testHeaders.RequestID, testHeaders.Budget, longTime, size, strings.Repeat("x", size-1)); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, conn)
+	}
+	r.eventually("the notice is over", func() bool { return r.nodes[0].stopping.refusesPeers.Load() })
+	before := arrivals(servers)
+	for i, conn := range conns {
+		if _, err := fmt.Fprint(conn, "x"); err != nil {
+			t.Fatal(err)
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(shortTime * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+			t.Errorf("body %d: response %v, %v, want 503 and the end of the connection", i, response, err)
+		}
+	}
+	if passedOn := arrivals(servers) - before; passedOn != 0 {
+		t.Errorf("passed on %d times", passedOn)
+	}
+	release()
 }
 
 // sendFrom sends a request without a key to the entry of a node, and returns its status.
