--- /dev/null
+++ b/review/standin-3/store.go
@@ -0,0 +1,130 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// storeItem is one key of the metadata store, or its removal.
+type storeItem struct {
+	Key      string
+	Value    []byte `json:",omitempty"`
+	Revision uint64
+	Created  uint64 `json:",omitempty"`
+	Lease    uint64
+	Removed  bool `json:",omitempty"`
+}
+
+// store is a stand-in for the platform's metadata store: range reads and watches. It
+// loses nothing and its answers are linearizable.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]storeItem
+	history  []storeItem
+	changed  chan struct{}
+}
+
+func newStore() *store {
+	return &store{revision: 1, items: make(map[string]storeItem), changed: make(chan struct{})}
+}
+
+func (s *store) put(key string, value []byte) { s.write(storeItem{Key: key, Value: value}) }
+
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	_, exists := s.items[key]
+	s.mu.Unlock()
+	if exists {
+		s.write(storeItem{Key: key, Removed: true})
+	}
+}
+
+func (s *store) write(item storeItem) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item.Revision = s.revision
+	if item.Removed {
+		delete(s.items, item.Key)
+	} else {
+		item.Created = s.revision
+		if before, exists := s.items[item.Key]; exists {
+			item.Created = before.Created
+		}
+		s.items[item.Key] = item
+	}
+	s.history = append(s.history, item)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", "1")
+	query := r.URL.Query()
+	switch r.URL.Path {
+	case "/kv-range":
+		s.serveRange(w, query.Get("Prefix"), query.Get("after"))
+	case "/kv-watch":
+		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(query.Get("WaitMs"))
+		s.serveWatch(w, r, query.Get("Prefix"), after, time.Duration(min(wait, 30000))*time.Millisecond)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *store) serveRange(w http.ResponseWriter, prefix, after string) {
+	s.mu.Lock()
+	items := []storeItem{}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			items = append(items, item)
+		}
+	}
+	revision := s.revision
+	s.mu.Unlock()
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	more := len(items) > 500
+	if more {
+		items = items[:500]
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "HasMore": more, "StoreRevision": revision})
+}
+
+func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after uint64, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		events := []storeItem{}
+		for _, item := range s.history {
+			if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+				events = append(events, item)
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		done := len(events) > 0
+		if !done {
+			select {
+			case <-changed:
+				continue
+			case <-timer.C:
+				done = true
+			case <-r.Context().Done():
+				return
+			}
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "StoreRevision": revision})
+		return
+	}
+}
