--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,7 +24,8 @@
 func main() {
 	runtime.LockOSThread() // it starts the nodes, which end with their parent's thread
 	cases := map[string]func(context.Context, *fleet, bool) (verdict, error){
-		"settlements": settlements,
+		"lethal-upload": lethalUpload,
+		"settlements":   settlements,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
