--- a/review/standin-3/lethal.go
+++ b/review/standin-3/lethal.go
@@ -15,11 +15,12 @@
 const lethalMarker = "LETHAL "
 
 // lethalUpload: clients upload files on one route, and one file crashes each server that
-// begins to run it. It comes again every second, with the same path, tenant and body, at
-// one machine after the other.
+// begins to run it. It comes again every second, with the same path, tenant and body. All
+// requests begin at machines whose own servers nothing happens to.
 func lethalUpload(ctx context.Context, f *fleet, trouble bool) (verdict, error) {
 	const (
 		servers     = 4
+		entries     = 2
 		perSecond   = 24
 		length      = 45 * time.Second
 		lethalEvery = time.Second
@@ -61,8 +62,13 @@
 	for i := range servers {
 		f.addMachine("bdx-store", fmt.Sprintf("zone-%c", 'a'+i%2), 40, serve)
 	}
+	idle := func(context.Context, *server, *run) (int, []byte, bool) { return 200, nil, true }
+	for i := range entries {
+		f.addMachine("treaty-desk", fmt.Sprintf("zone-%c", 'a'+i%2), 94, idle)
+	}
+	entryMachines := f.machines[servers:]
 	f.publish("r3",
-		service("bdx-store"),
+		service("bdx-store"), service("treaty-desk"),
 		resource("Routes", "uploads", map[string]any{
 			"Host": "bdx.example", "Prefix": "/bordereaux/", "Kind": "unsafe", "TimeoutS": 5, "TargetLatencyS": 1.5,
 			"Priority": 0, "Service": "bdx-store", "MaxAttempts": 2, "Public": false,
@@ -89,7 +95,7 @@
 	for n := 0; ; n++ {
 		select {
 		case <-files.C:
-			m := f.machines[n%servers]
+			m := entryMachines[n%entries]
 			body := make([]byte, size-randomInt(size/8))
 			copy(body, randomHex(16))
 			senders.Go(func() {
@@ -101,7 +107,7 @@
 			continue
 		case <-lethal.C:
 			if trouble {
-				m := f.machines[lethalSent%servers]
+				m := entryMachines[lethalSent%entries]
 				lethalSent++
 				senders.Go(func() {
 					a := upload(m, lethalBody)
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -39,12 +39,14 @@
 	address string
 	zone    string
 	slots   int
-	// index is the number of the server in its service.
-	index int
+
 	// serve does the work of a request. It returns a status and a body, or false to
 	// crash the server.
 	serve func(ctx context.Context, s *server, r *run) (status int, body []byte, alive bool)
 
+	// wrote receives a value when the entry was written between two heartbeats.
+	wrote chan struct{}
+
 	mu       sync.Mutex
 	id       string
 	born     int64
@@ -106,15 +108,17 @@
 
 // heartbeats writes the entry every heartbeat until ctx ends.
 func (s *server) heartbeats(ctx context.Context) {
-	ticker := time.NewTicker(heartbeat)
-	defer ticker.Stop()
+	timer := time.NewTimer(heartbeat)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			s.beat()
+		case <-s.wrote: // the next heartbeat counts from here
 		}
+		timer.Reset(heartbeat)
 	}
 }
 
@@ -138,6 +142,31 @@
 	})
 }
 
+// drain reports draining.
+func (s *server) drain() {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.beat()
+	s.wrote <- struct{}{}
+}
+
+// exit ends the process of the server as planned: it removes its entry.
+func (s *server) exit() {
+	s.mu.Lock()
+	s.down = true
+	ended, id := s.http, s.id
+	s.mu.Unlock()
+	_ = ended.Close()
+	s.fleet.store.remove("servers/" + id)
+}
+
+func (s *server) currentID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id
+}
+
 func (s *server) handle(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	id, free := s.id, s.free
@@ -248,7 +277,13 @@
 
 // send sends one attempt to the outbound address of a machine.
 func (c *caller) send(ctx context.Context, address string, q request) answer {
+	return c.sendAs(ctx, address, q, func(string) {})
+}
+
+// sendAs is send that tells the id of the request before it is sent.
+func (c *caller) sendAs(ctx context.Context, address string, q request, tell func(id string)) answer {
 	a := answer{id: randomHex(8), sent: time.Now()}
+	tell(a.id)
 	ctx, cancel := context.WithTimeout(ctx, q.limit)
 	defer cancel()
 	var body io.Reader
