--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,7 @@
 	runtime.LockOSThread() // it starts the nodes, which end with their parent's thread
 	cases := map[string]func(context.Context, *fleet, bool) (verdict, error){
 		"lethal-upload": lethalUpload,
+		"fleet-losses":  fleetLosses,
 		"drill":         drill,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
