--- a/review/standin-3/lethal.go
+++ b/review/standin-3/lethal.go
@@ -52,6 +52,7 @@
 	}
 	f.onArrive = func(s *server, r *run) {
 		if !bytes.HasPrefix(r.body, []byte(lethalMarker)) {
+			f.record("server %s gets upload %s of %d bytes", r.server, r.id, len(r.body))
 			return
 		}
 		mu.Lock()
@@ -103,6 +104,7 @@
 				mu.Lock()
 				counts[a.status]++
 				mu.Unlock()
+				f.record("upload %s of %d bytes, sent to %s at %.3f: status %d", a.id, len(body), m.name, f.since(a.sent), a.status)
 			})
 			continue
 		case <-lethal.C:
